Skeleton with the whole request path, kept thin

Cause: an empty repository.

Not there yet: mirror, views, membership, configuration from the store, limits, planned stops.

--- /dev/null
+++ b/include/lagoonroute/app/agentnode.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <lagoonroute/app/settings.h>
+
+#include <memory>
+
+namespace lagoonroute
+{
+
+/** One agent with all its threads. */
+class AgentNode
+{
+public:
+    /** Starts the agent. Throws NetworkError when an address is taken. */
+    explicit AgentNode(const Settings &settings);
+    ~AgentNode();
+
+    AgentNode(const AgentNode &) = delete;
+    AgentNode &operator=(const AgentNode &) = delete;
+
+    /** Address at which other processes reach it. */
+    [[nodiscard]] NodeAddress peerAddress() const;
+
+    /** Address at which the upstream announces itself. */
+    [[nodiscard]] NodeAddress httpAddress() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/app/entrynode.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <lagoonroute/app/settings.h>
+
+#include <memory>
+
+namespace lagoonroute
+{
+
+/** One entry with all its threads. */
+class EntryNode
+{
+public:
+    /** Starts the entry. Throws NetworkError when an address is taken. */
+    explicit EntryNode(const Settings &settings);
+    ~EntryNode();
+
+    EntryNode(const EntryNode &) = delete;
+    EntryNode &operator=(const EntryNode &) = delete;
+
+    /** Address at which other processes reach it. */
+    [[nodiscard]] NodeAddress peerAddress() const;
+
+    /** Address at which callers are served. */
+    [[nodiscard]] NodeAddress httpAddress() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/app/settings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <lagoonroute/configuration/servicerules.h>
+#include <lagoonroute/dispatch/shardview.h>
+#include <lagoonroute/membership/member.h>
+
+#include <string>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** Settings of one process, read from a JSON file with comments. */
+struct Settings
+{
+    std::string node; /**< Unique name of the process. */
+    NodeAddress peer; /**< Where other processes of the system reach it. */
+    NodeAddress http; /**< Where callers, the upstream and operators reach it. */
+    std::string zone; /**< Availability zone. */
+    std::string rack; /**< Rack within the availability zone. */
+    std::string logLevel = "info";
+    std::vector<Member> members; /**< Known from the start. */
+    std::vector<ServiceRules> services; /**< Known from the start. */
+    std::vector<ShardView> views; /**< Known from the start. */
+
+    /** Returns the settings in the file. Throws InvalidDocument, naming file, field and value. */
+    static Settings fromFile(const std::string &path);
+
+    /** Returns the settings in the text; `source` names it in errors. */
+    static Settings fromText(const std::string &text, const std::string &source);
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/base/base.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/**
+ * Module base: identifiers, time, outcomes, errors and the bounded ring that joins threads.
+ *
+ * Depends on the standard library, Boost.Lockfree and xxHash only.
+ */
+
+#include <lagoonroute/base/boundedring.h>
+#include <lagoonroute/base/errors.h>
+#include <lagoonroute/base/identifiers.h>
+#include <lagoonroute/base/outcome.h>
+#include <lagoonroute/base/time.h>
+#include <lagoonroute/base/wakesignal.h>
--- /dev/null
+++ b/include/lagoonroute/configuration/configuration.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/**
+ * Module configuration: what operators define. Services, the places they run and the rules for requests, as immutable
+ * values made by builders.
+ *
+ * Depends on base and Boost.JSON.
+ */
+
+#include <lagoonroute/configuration/resources.h>
+#include <lagoonroute/configuration/servicerules.h>
--- /dev/null
+++ b/include/lagoonroute/dispatch/events.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include <lagoonroute/configuration/servicerules.h>
+#include <lagoonroute/dispatch/messages.h>
+#include <lagoonroute/placement/workerstate.h>
+
+#include <variant>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** A message of another process, or of another core in this process, has arrived. */
+struct MessageReceived
+{
+    NodeId from;
+    DispatchMessage message;
+};
+
+/** The connection to a node broke; messages on their way to or from it may be lost. */
+struct ConnectionLost
+{
+    NodeId peer;
+};
+
+/** The view of a shard is known to have changed. */
+struct ViewChanged
+{
+    ShardView view;
+};
+
+/** This process is about to propose a view: from now on, acknowledge no record of a lower epoch of the shard. */
+struct ViewProposed
+{
+    ShardView view;
+};
+
+/** Whether the shard's home may start tasks; it may not while another home could have replaced it unnoticed. */
+struct StartsAllowed
+{
+    ShardKey shard;
+    bool allowed = true;
+};
+
+/** A worker offers a service, or what is known of it changed. */
+struct WorkerChanged
+{
+    std::string service;
+    WorkerState worker;
+};
+
+/** That life of a worker is over, or it no longer offers the service. */
+struct WorkerGone
+{
+    std::string service;
+    NodeId node;
+    Incarnation incarnation = 0;
+};
+
+/** Rules for a service are in force. */
+struct RulesChanged
+{
+    ServiceRules rules;
+};
+
+/** Time has passed; what is due by now is done. */
+struct TimeElapsed
+{
+};
+
+/** A planned stop has begun: refuse new work, finish what runs. */
+struct StopRequested
+{
+};
+
+/** A caller submitted a job at this entry. */
+struct CallerSubmitted
+{
+    std::uint64_t request = 0; /**< Number of the request within this process. */
+    JobId job;
+    JobRequest content;
+};
+
+/** A caller asks for the outcome of a job. */
+struct CallerLookedUp
+{
+    std::uint64_t request = 0;
+    std::string service;
+    JobId job;
+};
+
+/** A caller cancels a job. */
+struct CallerCancelled
+{
+    std::uint64_t request = 0;
+    std::string service;
+    JobId job;
+};
+
+/** The caller's connection closed; nobody waits for the answer. */
+struct CallerLeft
+{
+    std::uint64_t request = 0;
+};
+
+/** The upstream beside this agent announced itself. */
+struct UpstreamAnnounced
+{
+    std::string service;
+    std::uint16_t slots = 0;
+    std::uint16_t connections = 0;
+    Resources capacity;
+};
+
+/** The upstream beside this agent is leaving or fell silent. */
+struct UpstreamWithdrawn
+{
+    std::string service;
+};
+
+/** The upstream answered a task. */
+struct UpstreamReplied
+{
+    TaskId task;
+    TaskResult result;
+    Duration runTime{ 0 };
+};
+
+/** The call of the upstream broke off. */
+struct UpstreamBroke
+{
+    TaskId task;
+    bool started = true; /**< False when no byte of the request was written. */
+    Reason reason = Reason::UpstreamError;
+    Duration runTime{ 0 };
+};
+
+/** Send a message to a node; delivery is not certain. */
+struct SendMessage
+{
+    NodeId to;
+    DispatchMessage message;
+};
+
+/** Answer the caller's request at this entry. */
+struct AnswerCaller
+{
+    std::uint64_t request = 0;
+    JobId job;
+    JobAnswer answer;
+};
+
+/** Send a task to the upstream beside this agent. */
+struct CallUpstream
+{
+    TaskId task;
+    std::string service;
+    std::string path;
+    std::string body;
+    Duration timeout{ 0 };
+};
+
+/** Ask the worker to stop a task that runs. */
+struct StopUpstreamTask
+{
+    TaskId task;
+    std::string service;
+    std::string path;
+};
+
+/** Event of the home, mirror and executor of an agent. */
+using AgentEvent = std::variant<MessageReceived,
+                                ConnectionLost,
+                                ViewChanged,
+                                ViewProposed,
+                                StartsAllowed,
+                                WorkerChanged,
+                                WorkerGone,
+                                RulesChanged,
+                                TimeElapsed,
+                                StopRequested,
+                                UpstreamAnnounced,
+                                UpstreamWithdrawn,
+                                UpstreamReplied,
+                                UpstreamBroke>;
+
+/** Action of the home, mirror and executor of an agent. */
+using AgentAction = std::variant<SendMessage, CallUpstream, StopUpstreamTask>;
+
+/** Event of an entry. */
+using EntryEvent = std::variant<MessageReceived,
+                                ConnectionLost,
+                                ViewChanged,
+                                RulesChanged,
+                                TimeElapsed,
+                                StopRequested,
+                                CallerSubmitted,
+                                CallerLookedUp,
+                                CallerCancelled,
+                                CallerLeft>;
+
+/** Action of an entry. */
+using EntryAction = std::variant<SendMessage, AnswerCaller>;
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/dispatch/job.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <lagoonroute/base/identifiers.h>
+#include <lagoonroute/base/outcome.h>
+#include <lagoonroute/base/time.h>
+#include <lagoonroute/configuration/resources.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** Largest number of tasks in one job. */
+inline constexpr std::size_t maxTasksPerJob = 790;
+
+/** One task of a submission. */
+struct TaskSpec
+{
+    std::string body; /**< Body of the request to the upstream. */
+    Resources need; /**< As the caller declared it. */
+    Duration declaredRunTime{ 0 }; /**< As the caller declared it; zero when the caller did not. */
+
+    auto operator<=>(const TaskSpec &) const = default;
+};
+
+/** Content of a submission, the same in every resubmission. */
+struct JobRequest
+{
+    std::string service;
+    std::string caller;
+    Digest bodyDigest; /**< Digest of the caller's body; tells a reused key from a resubmission. */
+    bool idempotent = true; /**< Whether running it twice would do no harm. */
+    Duration timeRemaining{ 0 }; /**< Time left until the caller's deadline, at the moment of sending. */
+    std::optional<WallTime> keyTime; /**< Time within a time-ordered submission key. */
+    std::vector<TaskSpec> tasks;
+
+    auto operator<=>(const JobRequest &) const = default;
+};
+
+/** What an upstream answered to one task. */
+struct TaskResult
+{
+    std::uint16_t status = 0; /**< HTTP status of the upstream's answer. */
+    std::string body;
+
+    auto operator<=>(const TaskResult &) const = default;
+};
+
+/** The one answer to a job. */
+struct JobAnswer
+{
+    Outcome outcome = Outcome::NotRun;
+    Reason reason = Reason::None;
+    std::string detail; /**< For people. */
+    std::optional<Duration> retryAfter; /**< Present where a retry makes sense. */
+    std::vector<TaskResult> results; /**< One for each task of a complete job, otherwise empty. */
+    std::vector<TaskIndex> started; /**< Tasks of a failed job that ran or may have run. */
+
+    /** Returns the answer to a job of which nothing has started. */
+    static JobAnswer notRun(Reason reason, std::string detail, std::optional<Duration> retryAfter = std::nullopt);
+
+    auto operator<=>(const JobAnswer &) const = default;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/http/entryapi.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <lagoonroute/base/boundedring.h>
+#include <lagoonroute/dispatch/events.h>
+#include <lagoonroute/http/httpserver.h>
+
+#include <memory>
+#include <utility>
+
+namespace lagoonroute
+{
+
+/**
+ * HTTP towards callers: turns requests into events for the entry's core, and answers into responses.
+ *
+ * `POST /v1/services/{service}/jobs` submits, `GET .../jobs/{key}` asks for the outcome, `DELETE .../jobs/{key}`
+ * cancels. The caller is named by the field `Lagoonroute-Caller`, the submission key by `Idempotency-Key`.
+ */
+class EntryApi
+{
+public:
+    /** Starts to serve; `inboundSignal` is notified of every event. */
+    EntryApi(const HttpServer::Options &options, WakeSignal &inboundSignal);
+    ~EntryApi();
+
+    EntryApi(const EntryApi &) = delete;
+    EntryApi &operator=(const EntryApi &) = delete;
+
+    /** Address at which callers are served. */
+    [[nodiscard]] NodeAddress address() const;
+
+    /** Passes what callers asked for to `consume`. Called by the thread that decides only. */
+    template <typename Consumer>
+    void drain(Consumer &&consume)
+    {
+        inbound().drain(std::forward<Consumer>(consume));
+    }
+
+    /** Sends an answer to its caller. Called by the thread that decides only. */
+    void answer(AnswerCaller answer);
+
+    /** Takes no new connections. */
+    void stopAccepting();
+
+private:
+    class Implementation;
+
+    BoundedRing<EntryEvent> &inbound();
+
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/membership/membership.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/**
+ * Module membership: who takes part, who is alive, and which views the shards of a cell have.
+ *
+ * Depends on base and on the resource types of configuration.
+ */
+
+#include <lagoonroute/membership/member.h>
--- /dev/null
+++ b/include/lagoonroute/observation/observation.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/**
+ * Module observation: logs, metrics and the audit trail.
+ *
+ * Depends on base, spdlog and Boost.Accumulators.
+ */
+
+#include <lagoonroute/observation/log.h>
--- /dev/null
+++ b/modules/app/decisionthread.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <lagoonroute/base/boundedring.h>
+#include <lagoonroute/base/time.h>
+#include <lagoonroute/base/wakesignal.h>
+#include <lagoonroute/dispatch/events.h>
+
+#include <atomic>
+#include <concepts>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** A core that decides: pure, fed with events and the time. */
+template <typename Core, typename Event, typename Action>
+concept DecisionCore = requires(Core core, const Event &event, Instant now, std::vector<Action> &actions)
+{
+    core.handle(event, now, actions);
+    {
+        core.nextWake()
+        } -> std::convertible_to<std::optional<Instant>>;
+};
+
+/** Adapters that bring events to a core and carry out its actions. */
+template <typename Ports, typename Event, typename Action>
+concept DecisionPorts = requires(Ports ports, Action action)
+{
+    ports.drain([](Event &&) {});
+    ports.perform(std::move(action));
+};
+
+/**
+ * The thread on which one core decides.
+ *
+ * It waits for events of its ports or for the time the core asked for, whichever comes first.
+ */
+template <typename Core, typename Event, typename Action, typename Ports>
+requires DecisionCore<Core, Event, Action> && DecisionPorts<Ports, Event, Action>
+class DecisionThread
+{
+public:
+    /** Creates the thread, not started. All references must outlive it; ports notify `signal`. */
+    DecisionThread(Core &core, Ports &ports, WakeSignal &signal)
+        : m_core(core)
+        , m_ports(ports)
+        , m_signal(signal)
+        , m_control(controlCapacity, signal)
+    {
+    }
+
+    ~DecisionThread()
+    {
+        stop();
+    }
+
+    DecisionThread(const DecisionThread &) = delete;
+    DecisionThread &operator=(const DecisionThread &) = delete;
+
+    /** Starts to decide. */
+    void start()
+    {
+        m_thread = std::thread([this] { run(); });
+    }
+
+    /** Hands over an event from the controlling thread. Returns false when too many wait. */
+    bool inject(Event event)
+    {
+        return m_control.push(std::move(event));
+    }
+
+    /** Ends the thread at once. */
+    void stop()
+    {
+        m_stopping = true;
+        m_signal.notify();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+private:
+    static constexpr std::size_t controlCapacity = 4096;
+
+    void run()
+    {
+        while (!m_stopping) {
+            const auto decide = [this](Event &&event) {
+                m_core.handle(event, MonotonicClock::now(), m_actions);
+                perform();
+            };
+            m_control.drain(decide);
+            m_ports.drain(decide);
+            const auto wake = m_core.nextWake();
+            if (wake && *wake <= MonotonicClock::now()) {
+                decide(TimeElapsed{});
+            }
+            m_signal.waitUntil(m_core.nextWake());
+        }
+    }
+
+    void perform()
+    {
+        for (Action &action : m_actions) {
+            m_ports.perform(std::move(action));
+        }
+        m_actions.clear();
+    }
+
+    Core &m_core;
+    Ports &m_ports;
+    WakeSignal &m_signal;
+    BoundedRing<Event> m_control;
+    std::vector<Action> m_actions;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/app/main/main.cpp
@@ -0,0 +1,6 @@
+#include <lagoonroute/app/commandline.h>
+
+int main(int argc, char **argv)
+{
+    return lagoonroute::runCommandLine(argc, argv);
+}
--- /dev/null
+++ b/modules/app/settings.cpp
@@ -0,0 +1,144 @@
+#include <lagoonroute/app/settings.h>
+
+#include <lagoonroute/base/errors.h>
+
+#include <boost/json.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace lagoonroute
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+std::string text(const json::object &object, const char *name)
+{
+    const json::value *member = object.if_contains(name);
+    if (member == nullptr || !member->is_string()) {
+        throw InvalidDocument("field \"" + std::string(name) + "\" must be a string");
+    }
+    return json::value_to<std::string>(*member);
+}
+
+std::string textOr(const json::object &object, const char *name, const std::string &absent)
+{
+    return object.contains(name) ? text(object, name) : absent;
+}
+
+std::uint16_t smallNumber(const json::object &object, const char *name)
+{
+    const json::value *member = object.if_contains(name);
+    json::error_code error;
+    const auto value = member == nullptr ? std::uint16_t{ 0 } : member->to_number<std::uint16_t>(error);
+    if (member == nullptr || error) {
+        throw InvalidDocument("field \"" + std::string(name) + "\" must be a whole number from 0 to 65535");
+    }
+    return value;
+}
+
+const json::object &section(const json::object &object, const char *name)
+{
+    const json::value *member = object.if_contains(name);
+    if (member == nullptr || !member->is_object()) {
+        throw InvalidDocument("field \"" + std::string(name) + "\" must be an object");
+    }
+    return member->get_object();
+}
+
+const json::array &list(const json::object &object, const char *name)
+{
+    static const json::array empty;
+    const json::value *member = object.if_contains(name);
+    if (member == nullptr) {
+        return empty;
+    }
+    if (!member->is_array()) {
+        throw InvalidDocument("field \"" + std::string(name) + "\" must be an array");
+    }
+    return member->get_array();
+}
+
+NodeAddress addressOf(const json::object &object)
+{
+    return NodeAddress{ text(object, "ip"), smallNumber(object, "port") };
+}
+
+Member memberOf(const json::object &object)
+{
+    Member member;
+    member.name = text(object, "node");
+    member.id = NodeId::fromName(member.name);
+    member.role = textOr(object, "role", "agent") == "entry" ? NodeRole::Entry : NodeRole::Agent;
+    member.address = addressOf(section(object, "peer"));
+    member.zone = textOr(object, "zone", "");
+    member.rack = textOr(object, "rack", "");
+    for (const json::value &offer : list(object, "offers")) {
+        const json::object &fields = offer.as_object();
+        member.offers.push_back(ServiceOffer{ text(fields, "service"), smallNumber(fields, "slots"), smallNumber(fields, "connections"), {} });
+    }
+    return member;
+}
+
+ShardView viewOf(const json::object &object)
+{
+    ShardView view;
+    view.key.service = text(object, "service");
+    view.epoch = 1;
+    view.home = NodeId::fromName(text(object, "home"));
+    const std::string mirror = textOr(object, "mirror", "");
+    view.mirror = mirror.empty() ? NodeId{} : NodeId::fromName(mirror);
+    return view;
+}
+
+} // namespace
+
+Settings Settings::fromFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw InvalidDocument(path + ": cannot be read");
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return fromText(content.str(), path);
+}
+
+Settings Settings::fromText(const std::string &text, const std::string &source)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    json::error_code error;
+    const json::value document = json::parse(text, error, {}, options);
+    if (error || !document.is_object()) {
+        throw InvalidDocument(source + ": not a JSON object: " + error.message());
+    }
+    try {
+        const json::object &object = document.get_object();
+        Settings settings;
+        settings.node = lagoonroute::text(object, "node");
+        settings.peer = addressOf(section(object, "peer"));
+        settings.http = addressOf(section(object, "http"));
+        settings.zone = textOr(object, "zone", "");
+        settings.rack = textOr(object, "rack", "");
+        settings.logLevel = textOr(object, "logLevel", "info");
+        for (const json::value &member : list(object, "members")) {
+            settings.members.push_back(memberOf(member.as_object()));
+        }
+        for (const json::value &service : list(object, "services")) {
+            settings.services.push_back(ServiceRules::Builder(lagoonroute::text(service.as_object(), "name")).build());
+        }
+        for (const json::value &view : list(object, "views")) {
+            settings.views.push_back(viewOf(view.as_object()));
+        }
+        return settings;
+    } catch (const InvalidDocument &fault) {
+        throw InvalidDocument(source + ": " + fault.what());
+    }
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/base/tests/identifierstest.cpp
@@ -0,0 +1,32 @@
+#include <lagoonroute/base/base.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonroute;
+
+BOOST_AUTO_TEST_SUITE(Identifiers)
+
+BOOST_AUTO_TEST_CASE(JobIdSeparatesItsParts)
+{
+    BOOST_TEST((JobId::fromSubmission("booking", "a", "bc") == JobId::fromSubmission("booking", "a", "bc")));
+    BOOST_TEST((JobId::fromSubmission("booking", "a", "bc") != JobId::fromSubmission("booking", "ab", "c")));
+}
+
+BOOST_AUTO_TEST_CASE(DigestPrintsAllDigits)
+{
+    BOOST_TEST((Digest{ 1, 255 }.toString() == "000000000000000100000000000000ff"));
+}
+
+BOOST_AUTO_TEST_CASE(FullRingRefuses)
+{
+    WakeSignal signal;
+    BoundedRing<int> ring(2, signal);
+    BOOST_TEST(ring.push(1));
+    BOOST_TEST(ring.push(2));
+    BOOST_TEST(!ring.push(3));
+    int sum = 0;
+    BOOST_TEST(ring.drain([&sum](int value) { sum += value; }) == 2U);
+    BOOST_TEST(sum == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/http/httpsession.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <lagoonroute/http/httpserver.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace lagoonroute
+{
+
+/** Connection of one client: reads a request, has it handled, writes the response, and so on. */
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    HttpSession(boost::asio::ip::tcp::socket socket, const HttpServer::Options &options, const HttpServer::Handler &handler, std::function<void()> onEnd);
+    ~HttpSession();
+
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
+
+    /** Starts to read the first request. */
+    void start();
+
+private:
+    class Exchange;
+
+    void readRequest();
+    void handleRequest();
+    void refuse(boost::beast::error_code error);
+    void write(HttpResponse response);
+    void watchForClose();
+    void close();
+
+    boost::beast::tcp_stream m_stream;
+    const HttpServer::Options &m_options;
+    const HttpServer::Handler &m_handler;
+    std::function<void()> m_onEnd;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    boost::beast::http::response<boost::beast::http::string_body> m_response;
+    std::weak_ptr<Exchange> m_exchange;
+    bool m_isAnswered = true;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/membership/membership.cpp
@@ -0,0 +1,1 @@
+#include <lagoonroute/membership/membership.h>
--- /dev/null
+++ b/modules/platform/platform.cpp
@@ -0,0 +1,1 @@
+#include <lagoonroute/platform/platform.h>
--- /dev/null
+++ b/modules/transport/peertransport.cpp
@@ -0,0 +1,273 @@
+#include <lagoonroute/transport/peertransport.h>
+
+#include "incomingpeer.h"
+#include "loopsignal.h"
+#include "outgoingpeer.h"
+
+#include <lagoonroute/base/errors.h>
+#include <lagoonroute/transport/messagecodec.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/** Wait before accepting again after the process ran out of descriptors. */
+constexpr std::chrono::milliseconds acceptRetry{ 50 };
+
+/** Returns the message behind its length in four bytes, big-endian. */
+std::string frameOf(const Envelope &envelope)
+{
+    const std::string body = encodeMessage(envelope);
+    std::string frame(sizeof(std::uint32_t), '\0');
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char *>(frame.data()), static_cast<std::uint32_t>(body.size()));
+    frame += body;
+    return frame;
+}
+
+/** What the deciding thread asks of the event loop. */
+struct PeerAddressSet
+{
+    NodeId node;
+    NodeAddress address;
+};
+
+using PeerCommand = std::variant<SendMessage, PeerAddressSet>;
+
+} // namespace
+
+PeerTransport::Options PeerTransport::Options::withSelf(NodeId node, Incarnation life) const
+{
+    Options changed = *this;
+    changed.self = node;
+    changed.incarnation = life;
+    return changed;
+}
+
+PeerTransport::Options PeerTransport::Options::withAddress(NodeAddress listenAddress) const
+{
+    Options changed = *this;
+    changed.address = std::move(listenAddress);
+    return changed;
+}
+
+class PeerTransport::Implementation
+{
+public:
+    Implementation(const Options &options, WakeSignal &inboundSignal)
+        : m_options(options)
+        , m_work(boost::asio::make_work_guard(m_loop))
+        , m_outboundSignal(m_loop, [this] { carryOut(); })
+        , m_inbound(options.ringCapacity, inboundSignal)
+        , m_outbound(options.ringCapacity, m_outboundSignal)
+        , m_acceptor(m_loop)
+        , m_acceptTimer(m_loop)
+    {
+        listen();
+        m_thread = std::thread([this] { m_loop.run(); });
+    }
+
+    ~Implementation()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    [[nodiscard]] NodeAddress address() const
+    {
+        return m_address;
+    }
+
+    bool command(PeerCommand command)
+    {
+        return m_outbound.push(std::move(command));
+    }
+
+    BoundedRing<PeerEvent> &inbound()
+    {
+        return m_inbound;
+    }
+
+private:
+    void listen()
+    {
+        try {
+            const tcp::endpoint endpoint(boost::asio::ip::make_address(m_options.address.ip), m_options.address.port);
+            m_acceptor.open(endpoint.protocol());
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+            m_acceptor.bind(endpoint);
+            m_acceptor.listen();
+            m_address = { m_options.address.ip, m_acceptor.local_endpoint().port() };
+        } catch (const boost::system::system_error &error) {
+            throw NetworkError("cannot listen on " + m_options.address.ip + ":" + std::to_string(m_options.address.port) + ": " + error.what());
+        }
+        accept();
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                acceptLater();
+                return;
+            }
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<IncomingPeer>(std::move(socket), [this](Envelope &envelope) { return receive(envelope); })->start();
+            accept();
+        });
+    }
+
+    void acceptLater()
+    {
+        m_acceptTimer.expires_after(acceptRetry);
+        m_acceptTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                accept();
+            }
+        });
+    }
+
+    bool receive(Envelope &envelope)
+    {
+        if (envelope.to != m_options.self) {
+            return true;
+        }
+        PeerEvent event = MessageReceived{ envelope.from, std::move(envelope.message) };
+        if (m_inbound.push(std::move(event))) {
+            return true;
+        }
+        envelope.message = std::move(std::get<MessageReceived>(event).message);
+        return false;
+    }
+
+    void carryOut()
+    {
+        reportLost();
+        m_outbound.drain([this](PeerCommand &&command) {
+            if (const auto *set = std::get_if<PeerAddressSet>(&command)) {
+                setAddress(*set);
+            } else {
+                send(std::get<SendMessage>(std::move(command)));
+            }
+        });
+    }
+
+    void setAddress(const PeerAddressSet &set)
+    {
+        NodeAddress &known = m_addresses[set.node];
+        if (known == set.address) {
+            return;
+        }
+        known = set.address;
+        const auto peer = m_peers.find(set.node);
+        if (peer != m_peers.end()) {
+            peer->second->close();
+            m_peers.erase(peer);
+            lost(set.node);
+        }
+    }
+
+    void send(SendMessage &&message)
+    {
+        const NodeId to = message.to;
+        const auto address = m_addresses.find(to);
+        if (address == m_addresses.end()) {
+            lost(to);
+            return;
+        }
+        auto peer = m_peers.find(to);
+        if (peer == m_peers.end()) {
+            const auto onLost = [this, to] {
+                m_peers.erase(to);
+                lost(to);
+            };
+            peer = m_peers.emplace(to, std::make_shared<OutgoingPeer>(m_loop, address->second, onLost)).first;
+            peer->second->start();
+        }
+        const auto connection = peer->second;
+        if (!connection->send(frameOf(Envelope{ m_options.self, m_options.incarnation, to, std::move(message.message) }))) {
+            connection->close();
+            m_peers.erase(to);
+            lost(to);
+        }
+    }
+
+    void lost(NodeId peer)
+    {
+        m_lost.push_back(peer);
+        reportLost();
+    }
+
+    void reportLost()
+    {
+        while (!m_lost.empty() && m_inbound.push(ConnectionLost{ m_lost.back() })) {
+            m_lost.pop_back();
+        }
+        if (!m_lost.empty()) {
+            m_outboundSignal.notify();
+        }
+    }
+
+    Options m_options;
+    boost::asio::io_context m_loop{ 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    LoopSignal m_outboundSignal;
+    BoundedRing<PeerEvent> m_inbound;
+    BoundedRing<PeerCommand, LoopSignal> m_outbound;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
+    NodeAddress m_address;
+    std::unordered_map<NodeId, NodeAddress> m_addresses;
+    std::unordered_map<NodeId, std::shared_ptr<OutgoingPeer>> m_peers;
+    std::vector<NodeId> m_lost;
+    std::thread m_thread;
+};
+
+PeerTransport::PeerTransport(const Options &options, WakeSignal &inboundSignal)
+    : m_implementation(std::make_unique<Implementation>(options, inboundSignal))
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+NodeAddress PeerTransport::address() const
+{
+    return m_implementation->address();
+}
+
+void PeerTransport::setPeer(NodeId node, const NodeAddress &peerAddress)
+{
+    m_implementation->command(PeerAddressSet{ node, peerAddress });
+}
+
+bool PeerTransport::send(NodeId to, DispatchMessage message)
+{
+    return m_implementation->command(SendMessage{ to, std::move(message) });
+}
+
+BoundedRing<PeerEvent> &PeerTransport::inbound()
+{
+    return m_implementation->inbound();
+}
+
+} // namespace lagoonroute
