Caller library, submit command, metrics and structured logs

Cause: callers need a safe way to resubmit, and operators need figures. Change: module client (time-ordered keys, submissions by builder, retries under one key, three outcomes in types), lagoonroute submit on top of it, metrics on Boost.Accumulators in the Prometheus format, log lines as JSON.

--- a/include/lagoonroute/observation/log.h
+++ b/include/lagoonroute/observation/log.h
@@ -1,11 +1,38 @@
 #pragma once
 
+#include <cstdint>
+#include <initializer_list>
 #include <string>
+#include <string_view>
 
 namespace lagoonroute
 {
 
-/** Sets up the process-wide log: one JSON object a line on standard error, at the given spdlog level. */
+/** Weight of a log line. */
+enum class LogLevel : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** A named value of a log line. */
+struct LogField
+{
+    std::string_view name;
+    std::string value;
+
+    LogField(std::string_view fieldName, std::string_view text);
+    LogField(std::string_view fieldName, std::int64_t number);
+};
+
+/** Sets up the process-wide log: one JSON object a line on standard error, from the given level on. */
 void startLogging(const std::string &node, const std::string &level);
 
+/** Tells whether lines of this level are written. */
+bool isLogged(LogLevel level);
+
+/** Writes one line: the name of the event, and its fields. Callable from any thread. */
+void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+
 } // namespace lagoonroute
--- a/include/lagoonroute/observation/observation.h
+++ b/include/lagoonroute/observation/observation.h
@@ -7,3 +7,4 @@
  */
 
 #include <lagoonroute/observation/log.h>
+#include <lagoonroute/observation/metrics.h>
--- a/modules/app/settings.cpp
+++ b/modules/app/settings.cpp
@@ -1,12 +1,11 @@
 #include <lagoonroute/app/settings.h>
 
+#include "filetext.h"
+
 #include <lagoonroute/base/errors.h>
 
 #include <boost/json.hpp>
 
-#include <fstream>
-#include <sstream>
-
 namespace lagoonroute
 {
 
@@ -98,13 +97,7 @@
 
 Settings Settings::fromFile(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        throw InvalidDocument(path + ": cannot be read");
-    }
-    std::ostringstream content;
-    content << file.rdbuf();
-    return fromText(content.str(), path);
+    return fromText(readFile(path), path);
 }
 
 Settings Settings::fromText(const std::string &text, const std::string &source)
