Rules of a service: preference, shares, keys, deadlines, ejection, drain

Change: ServiceRules holds every rule, described once in a field table (name in JSON, allowed range); build() refuses wrong values and names every fault with its place. maxTasksPerJob moves to configuration, which dispatch depends on.

--- a/include/lagoonroute/configuration/configuration.h
+++ b/include/lagoonroute/configuration/configuration.h
@@ -7,5 +7,6 @@
  * Depends on base and Boost.JSON.
  */
 
+#include <lagoonroute/configuration/checkfault.h>
 #include <lagoonroute/configuration/resources.h>
 #include <lagoonroute/configuration/servicerules.h>
--- a/include/lagoonroute/dispatch/job.h
+++ b/include/lagoonroute/dispatch/job.h
@@ -4,6 +4,7 @@
 #include <lagoonroute/base/outcome.h>
 #include <lagoonroute/base/time.h>
 #include <lagoonroute/configuration/resources.h>
+#include <lagoonroute/configuration/servicerules.h>
 
 #include <compare>
 #include <cstdint>
@@ -14,9 +15,6 @@
 namespace lagoonroute
 {
 
-/** Largest number of tasks in one job. */
-inline constexpr std::size_t maxTasksPerJob = 790;
-
 /** One task of a submission. */
 struct TaskSpec
 {
--- /dev/null
+++ b/modules/configuration/fieldkinds.cpp
@@ -0,0 +1,73 @@
+#include "fieldkinds.h"
+
+#include <algorithm>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+constexpr std::size_t maxNameLength = 64;
+constexpr std::size_t maxCallerLength = 128;
+constexpr std::size_t maxPathLength = 256;
+
+bool isPrintable(char character)
+{
+    return character > ' ' && character <= '~';
+}
+
+bool isNameCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
+}
+
+template <typename Predicate>
+bool allOf(std::string_view text, std::size_t maxLength, Predicate predicate)
+{
+    return text.size() <= maxLength && std::all_of(text.begin(), text.end(), predicate);
+}
+
+} // namespace
+
+std::string NumberRange::toString() const
+{
+    return std::to_string(smallest) + " to " + std::to_string(largest);
+}
+
+std::string DurationRange::toString() const
+{
+    return std::to_string(shortest.count()) + " to " + std::to_string(longest.count()) + " whole milliseconds";
+}
+
+bool hasForm(std::string_view text, TextForm form)
+{
+    switch (form) {
+    case TextForm::Name:
+        return !text.empty() && allOf(text, maxNameLength, isNameCharacter);
+    case TextForm::Caller:
+        return !text.empty() && allOf(text, maxCallerLength, isPrintable);
+    case TextForm::Path:
+        return !text.empty() && text.front() == '/' && allOf(text, maxPathLength, isPrintable);
+    case TextForm::KeyName:
+        return allOf(text, maxPathLength, isPrintable);
+    }
+    return false;
+}
+
+std::string_view description(TextForm form)
+{
+    switch (form) {
+    case TextForm::Name:
+        return "1 to 64 lower-case letters, digits and hyphens";
+    case TextForm::Caller:
+        return "1 to 128 printable ASCII characters without spaces";
+    case TextForm::Path:
+        return "1 to 256 printable ASCII characters without spaces, the first of them /";
+    case TextForm::KeyName:
+        return "at most 256 printable ASCII characters without spaces";
+    }
+    return "";
+}
+
+} // namespace lagoonroute
--- a/modules/configuration/servicerules.cpp
+++ b/modules/configuration/servicerules.cpp
@@ -1,42 +1,19 @@
 #include <lagoonroute/configuration/servicerules.h>
 
-#include <utility>
+#include <algorithm>
 
 namespace lagoonroute
 {
 
-ServiceRules::Builder::Builder(std::string name)
+std::uint32_t ServiceRules::callerWeight(const std::string &caller) const
 {
-    m_rules.m_name = std::move(name);
+    const auto found = m_callerWeights.find(caller);
+    return found == m_callerWeights.end() ? m_defaultCallerWeight : found->second;
 }
 
-ServiceRules::Builder &ServiceRules::Builder::withUpstreamPath(std::string path)
+bool ServiceRules::runsIn(const std::string &zone) const
 {
-    m_rules.m_upstreamPath = std::move(path);
-    return *this;
-}
-
-ServiceRules::Builder &ServiceRules::Builder::withQueueLimit(std::uint32_t tasks)
-{
-    m_rules.m_queueLimit = tasks;
-    return *this;
-}
-
-ServiceRules::Builder &ServiceRules::Builder::withRetention(Duration retention)
-{
-    m_rules.m_retention = retention;
-    return *this;
-}
-
-ServiceRules::Builder &ServiceRules::Builder::withDefaultDeadline(Duration deadline)
-{
-    m_rules.m_defaultDeadline = deadline;
-    return *this;
-}
-
-ServiceRules ServiceRules::Builder::build() const
-{
-    return m_rules;
+    return m_zones.empty() || std::binary_search(m_zones.begin(), m_zones.end(), zone);
 }
 
 } // namespace lagoonroute
