Messages and events for epochs, attempts and lives

Cause: a refusal must name the placement it refuses, a message for an earlier life of an agent must stay unanswered by the next one (its silence is no proof), and an entry must know how far a "not run" reaches after a change of home. Change: attempt numbers in assignments, starts and refusals; incarnation in starts, withdrawals and recovery; epoch in answers; mirror records for lost records and probes; a flag that ends a full transfer; StartsAllowed with an end; calendar time as an event; reason unknown-job. Nothing uses them yet; the existing members keep their place.

--- a/include/lagoonroute/base/outcome.h
+++ b/include/lagoonroute/base/outcome.h
@@ -32,6 +32,7 @@
     UpstreamTimeout, /**< An upstream did not answer a task in time. */
     WorkerLost, /**< A worker that may have started a task is gone. */
     HomeLost, /**< The record of the job was lost; the tasks may have run. */
+    UnknownJob, /**< No record under this key: it never arrived, or its retention window has passed. */
 };
 
 /** Returns the machine-readable name that callers see, for example "not-run". */
--- a/include/lagoonroute/dispatch/events.h
+++ b/include/lagoonroute/dispatch/events.h
@@ -4,6 +4,7 @@
 #include <lagoonroute/dispatch/messages.h>
 #include <lagoonroute/placement/workerstate.h>
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -35,11 +36,15 @@
     ShardView view;
 };
 
-/** Whether the shard's home may start tasks; it may not while another home could have replaced it unnoticed. */
+/**
+ * Whether the home of a shard without a mirror may start tasks; it may not while another home could have replaced it
+ * unnoticed. Until the first such event it may not. Homes with a mirror ask their mirror instead.
+ */
 struct StartsAllowed
 {
     ShardKey shard;
     bool allowed = true;
+    std::optional<Instant> until; /**< End of the confirmed lease less its margin; nothing means until revoked. */
 };
 
 /** A worker offers a service, or what is known of it changed. */
@@ -68,6 +73,12 @@
 {
 };
 
+/** The calendar time at this moment. Given at the start and every few minutes; steps backwards are ignored. */
+struct WallClockRead
+{
+    WallTime time;
+};
+
 /** A planned stop has begun: refuse new work, finish what runs. */
 struct StopRequested
 {
@@ -178,6 +189,7 @@
                                 WorkerGone,
                                 RulesChanged,
                                 TimeElapsed,
+                                WallClockRead,
                                 StopRequested,
                                 UpstreamAnnounced,
                                 UpstreamWithdrawn,
--- a/include/lagoonroute/dispatch/messages.h
+++ b/include/lagoonroute/dispatch/messages.h
@@ -61,6 +61,7 @@
     RequestId request;
     JobId job;
     JobAnswer answer;
+    Epoch epoch = 0; /**< View under which the home answers; tells the entry how far a "not run" reaches. */
 
     auto operator<=>(const AnswerRequest &) const = default;
 };
@@ -81,6 +82,7 @@
     TaskId task;
     NodeId worker;
     Incarnation incarnation = 0;
+    std::uint32_t attempt = 0; /**< Number of the placement of this task, from 1. */
 
     auto operator<=>(const Assignment &) const = default;
 };
@@ -111,8 +113,22 @@
     auto operator<=>(const JobForgotten &) const = default;
 };
 
+/** Mirror record: the records of an earlier home and mirror of the shard were lost that long ago. */
+struct RecordsLost
+{
+    Duration age{ 0 };
+
+    auto operator<=>(const RecordsLost &) const = default;
+};
+
+/** Mirror record without content: its acknowledgement proves that the epoch was still accepted. */
+struct MirrorProbe
+{
+    auto operator<=>(const MirrorProbe &) const = default;
+};
+
 /** One change that the home records at its mirror. */
-using MirrorRecord = std::variant<JobRecorded, Assignment, AnswerRecorded, JobForgotten>;
+using MirrorRecord = std::variant<JobRecorded, Assignment, AnswerRecorded, JobForgotten, RecordsLost, MirrorProbe>;
 
 /** Home to mirror: changes to record, in order. */
 struct UpdateMirror
@@ -121,6 +137,7 @@
     Epoch epoch = 0;
     std::uint64_t sequence = 0; /**< Number of the first record; the next one has the next number. */
     std::vector<MirrorRecord> records;
+    bool complete = false; /**< With these records the mirror has a full copy. */
 
     auto operator<=>(const UpdateMirror &) const = default;
 };
@@ -147,6 +164,8 @@
     std::string path;
     std::string body;
     Resources need;
+    Incarnation incarnation = 0; /**< Life of the agent that is meant; zero means any. */
+    std::uint32_t attempt = 0; /**< Number of the placement of this task. */
 
     auto operator<=>(const StartTask &) const = default;
 };
@@ -158,6 +177,7 @@
     Epoch epoch = 0;
     TaskId task;
     Reason reason = Reason::None;
+    std::uint32_t attempt = 0; /**< Of the StartTask that is refused. */
 
     auto operator<=>(const TaskRefused &) const = default;
 };
@@ -191,6 +211,7 @@
     Epoch epoch = 0;
     bool stopStarted = false;
     std::vector<TaskId> tasks;
+    Incarnation incarnation = 0; /**< Life of the agent that was sent these tasks; another life stays silent. */
 
     auto operator<=>(const WithdrawTasks &) const = default;
 };
@@ -212,6 +233,7 @@
     ShardKey shard;
     Epoch epoch = 0;
     std::vector<TaskId> tasks;
+    Incarnation incarnation = 0; /**< Life of the agent that was sent these tasks; another life stays silent. */
 
     auto operator<=>(const RecoverTasks &) const = default;
 };
--- a/modules/base/outcome.cpp
+++ b/modules/base/outcome.cpp
@@ -53,6 +53,8 @@
         return "worker-lost";
     case Reason::HomeLost:
         return "home-lost";
+    case Reason::UnknownJob:
+        return "unknown-job";
     }
     return "unknown";
 }
--- a/modules/http/callerjson.cpp
+++ b/modules/http/callerjson.cpp
@@ -67,6 +67,7 @@
 {
     switch (answer.reason) {
     case Reason::UnknownService:
+    case Reason::UnknownJob:
         return 404;
     case Reason::InvalidRequest:
     case Reason::MissingKey:
--- a/modules/transport/messageserialization.h
+++ b/modules/transport/messageserialization.h
@@ -104,7 +104,7 @@
 template <class Archive>
 void serialize(Archive &archive, AnswerRequest &value)
 {
-    archive(value.request, value.job, value.answer);
+    archive(value.request, value.job, value.answer, value.epoch);
 }
 
 template <class Archive>
@@ -116,7 +116,7 @@
 template <class Archive>
 void serialize(Archive &archive, Assignment &value)
 {
-    archive(value.task, value.worker, value.incarnation);
+    archive(value.task, value.worker, value.incarnation, value.attempt);
 }
 
 template <class Archive>
@@ -137,10 +137,21 @@
     archive(value.job);
 }
 
+template <class Archive>
+void serialize(Archive &archive, RecordsLost &value)
+{
+    archive(value.age);
+}
+
+template <class Archive>
+void serialize(Archive & /*archive*/, MirrorProbe & /*value*/)
+{
+}
+
 template <class Archive>
 void serialize(Archive &archive, UpdateMirror &value)
 {
-    archive(value.shard, value.epoch, value.sequence, value.records);
+    archive(value.shard, value.epoch, value.sequence, value.records, value.complete);
 }
 
 template <class Archive>
@@ -152,13 +163,13 @@
 template <class Archive>
 void serialize(Archive &archive, StartTask &value)
 {
-    archive(value.shard, value.epoch, value.task, value.startWithin, value.timeout, value.path, value.body, value.need);
+    archive(value.shard, value.epoch, value.task, value.startWithin, value.timeout, value.path, value.body, value.need, value.incarnation, value.attempt);
 }
 
 template <class Archive>
 void serialize(Archive &archive, TaskRefused &value)
 {
-    archive(value.shard, value.epoch, value.task, value.reason);
+    archive(value.shard, value.epoch, value.task, value.reason, value.attempt);
 }
 
 template <class Archive>
@@ -176,7 +187,7 @@
 template <class Archive>
 void serialize(Archive &archive, WithdrawTasks &value)
 {
-    archive(value.shard, value.epoch, value.stopStarted, value.tasks);
+    archive(value.shard, value.epoch, value.stopStarted, value.tasks, value.incarnation);
 }
 
 template <class Archive>
@@ -188,7 +199,7 @@
 template <class Archive>
 void serialize(Archive &archive, RecoverTasks &value)
 {
-    archive(value.shard, value.epoch, value.tasks);
+    archive(value.shard, value.epoch, value.tasks, value.incarnation);
 }
 
 template <class Archive>
