Planned stop, operators' pages and observers of entry and agent

Cause: a stop signal cut whatever ran, and nothing showed what a process does. Change: process life cycle as a Boost.MSM machine (serving, withdrawing, draining, stopped); /metrics, /healthz, /ready and /v1/status on every process; observers that log and count events and actions beside the cores.

--- a/include/lagoonroute/app/agentnode.h
+++ b/include/lagoonroute/app/agentnode.h
@@ -24,6 +24,15 @@
     /** Address at which the upstream announces itself. */
     [[nodiscard]] NodeAddress httpAddress() const;
 
+    /** Tells balancers and peers whether to send new work here. */
+    void setReady(bool ready);
+
+    /** Refuses new work from now on and finishes what runs. */
+    void drain();
+
+    /** Whether no work is left after drain(). */
+    [[nodiscard]] bool isDrained() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/include/lagoonroute/app/settings.h
+++ b/include/lagoonroute/app/settings.h
@@ -19,6 +19,8 @@
     std::string zone; /**< Availability zone. */
     std::string rack; /**< Rack within the availability zone. */
     std::string logLevel = "info";
+    Duration withdrawTime = std::chrono::seconds(2); /**< Of a planned stop: between not ready and the refusal of new work. */
+    Duration drainLimit = std::chrono::seconds(30); /**< Of a planned stop: after it, work that is left is cut. */
     std::vector<Member> members; /**< Known from the start. */
     std::vector<ServiceRules> services; /**< Known from the start. */
     std::vector<ShardView> views; /**< Known from the start. */
--- a/include/lagoonroute/dispatch/events.h
+++ b/include/lagoonroute/dispatch/events.h
@@ -88,6 +88,7 @@
 struct CallerSubmitted
 {
     std::uint64_t request = 0; /**< Number of the request within this process. */
+    std::string key; /**< Submission key, for the log. */
     JobId job;
     JobRequest content;
 };
@@ -96,6 +97,7 @@
 struct CallerLookedUp
 {
     std::uint64_t request = 0;
+    std::string key;
     std::string service;
     JobId job;
 };
@@ -104,6 +106,7 @@
 struct CallerCancelled
 {
     std::uint64_t request = 0;
+    std::string key;
     std::string service;
     JobId job;
 };
--- a/include/lagoonroute/http/entryapi.h
+++ b/include/lagoonroute/http/entryapi.h
@@ -3,6 +3,7 @@
 #include <lagoonroute/base/boundedring.h>
 #include <lagoonroute/dispatch/events.h>
 #include <lagoonroute/http/httpserver.h>
+#include <lagoonroute/http/operatorpages.h>
 
 #include <memory>
 #include <utility>
@@ -19,8 +20,8 @@
 class EntryApi
 {
 public:
-    /** Starts to serve; `inboundSignal` is notified of every event. */
-    EntryApi(const HttpServer::Options &options, WakeSignal &inboundSignal);
+    /** Starts to serve; `inboundSignal` is notified of every event, `pages` answers operators. */
+    EntryApi(const HttpServer::Options &options, const OperatorPages &pages, WakeSignal &inboundSignal);
     ~EntryApi();
 
     EntryApi(const EntryApi &) = delete;
@@ -39,8 +40,11 @@
     /** Sends an answer to its caller. Called by the thread that decides only. */
     void answer(AnswerCaller answer);
 
-    /** Takes no new connections. */
-    void stopAccepting();
+    /** From now on closes each connection after its next response. */
+    void closeAfterResponses();
+
+    /** Number of requests whose response is not written yet. */
+    [[nodiscard]] std::size_t busy() const noexcept;
 
 private:
     class Implementation;
--- a/include/lagoonroute/http/http.h
+++ b/include/lagoonroute/http/http.h
@@ -10,4 +10,5 @@
 #include <lagoonroute/http/httpclient.h>
 #include <lagoonroute/http/httpmessage.h>
 #include <lagoonroute/http/httpserver.h>
+#include <lagoonroute/http/operatorpages.h>
 #include <lagoonroute/http/upstreamgateway.h>
--- a/include/lagoonroute/http/httpserver.h
+++ b/include/lagoonroute/http/httpserver.h
@@ -61,8 +61,11 @@
     /** Runs a function on the server's thread. Callable from any thread. */
     void post(std::function<void()> function);
 
-    /** Closes the listener; open connections go on. Callable from any thread. */
-    void stopAccepting();
+    /** From now on closes each connection after its next response. Callable from any thread. */
+    void closeAfterResponses();
+
+    /** Number of requests that were received and whose response is not written yet. Callable from any thread. */
+    [[nodiscard]] std::size_t busy() const noexcept;
 
 private:
     class Implementation;
--- a/include/lagoonroute/http/upstreamgateway.h
+++ b/include/lagoonroute/http/upstreamgateway.h
@@ -3,6 +3,7 @@
 #include <lagoonroute/base/boundedring.h>
 #include <lagoonroute/dispatch/events.h>
 #include <lagoonroute/http/httpserver.h>
+#include <lagoonroute/http/operatorpages.h>
 
 #include <memory>
 #include <utility>
@@ -20,8 +21,8 @@
 class UpstreamGateway
 {
 public:
-    /** Starts to take announcements; `inboundSignal` is notified of every event. */
-    UpstreamGateway(const HttpServer::Options &options, WakeSignal &inboundSignal);
+    /** Starts to take announcements; `inboundSignal` is notified of every event, `pages` answers operators. */
+    UpstreamGateway(const HttpServer::Options &options, const OperatorPages &pages, WakeSignal &inboundSignal);
     ~UpstreamGateway();
 
     UpstreamGateway(const UpstreamGateway &) = delete;
--- a/include/lagoonroute/observation/observation.h
+++ b/include/lagoonroute/observation/observation.h
@@ -8,3 +8,4 @@
 
 #include <lagoonroute/observation/log.h>
 #include <lagoonroute/observation/metrics.h>
+#include <lagoonroute/observation/nodestatus.h>
--- a/modules/app/agentnode.cpp
+++ b/modules/app/agentnode.cpp
@@ -1,13 +1,13 @@
 #include <lagoonroute/app/agentnode.h>
 
+#include "agentobserver.h"
 #include "decisionthread.h"
+#include "nodebase.h"
 
 #include <lagoonroute/dispatch/agentcore.h>
 #include <lagoonroute/http/upstreamgateway.h>
 #include <lagoonroute/transport/peertransport.h>
 
-#include <chrono>
-
 namespace lagoonroute
 {
 
@@ -18,9 +18,9 @@
 class AgentPorts
 {
 public:
-    AgentPorts(const Settings &settings, Incarnation incarnation, WakeSignal &signal)
+    AgentPorts(const Settings &settings, Incarnation incarnation, const OperatorPages &pages, WakeSignal &signal)
         : m_peers(PeerTransport::Options().withSelf(NodeId::fromName(settings.node), incarnation).withAddress(settings.peer), signal)
-        , m_upstream(HttpServer::Options().withAddress(settings.http), signal)
+        , m_upstream(HttpServer::Options().withAddress(settings.http), pages, signal)
     {
         for (const Member &member : settings.members) {
             m_peers.setPeer(member.id, member.address);
@@ -66,20 +66,17 @@
     UpstreamGateway m_upstream;
 };
 
-Incarnation incarnationOfNow()
-{
-    return static_cast<Incarnation>(std::chrono::system_clock::now().time_since_epoch().count());
-}
-
 } // namespace
 
 class AgentNode::Implementation
 {
 public:
     explicit Implementation(const Settings &settings)
-        : m_core(NodeId::fromName(settings.node), NodeId::fromName(settings.node).value)
-        , m_ports(settings, incarnationOfNow(), m_signal)
-        , m_thread(m_core, m_ports, m_signal)
+        : m_base(settings.node)
+        , m_observer(m_base.metrics())
+        , m_core(NodeId::fromName(settings.node), NodeId::fromName(settings.node).value)
+        , m_ports(settings, m_base.incarnation(), m_base.pages(), m_signal)
+        , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         for (const ServiceRules &rules : settings.services) {
             m_thread.inject(RulesChanged{ rules });
@@ -93,6 +90,21 @@
         m_thread.start();
     }
 
+    [[nodiscard]] NodeBase &base()
+    {
+        return m_base;
+    }
+
+    void drain()
+    {
+        m_thread.inject(StopRequested{});
+    }
+
+    [[nodiscard]] bool isDrained() const
+    {
+        return m_thread.isDrained();
+    }
+
     [[nodiscard]] const AgentPorts &ports() const
     {
         return m_ports;
@@ -113,10 +125,12 @@
         }
     }
 
+    NodeBase m_base;
     WakeSignal m_signal;
+    AgentObserver m_observer;
     AgentCore m_core;
     AgentPorts m_ports;
-    DecisionThread<AgentCore, AgentEvent, AgentAction, AgentPorts> m_thread;
+    DecisionThread<AgentCore, AgentEvent, AgentAction, AgentPorts, AgentObserver> m_thread;
 };
 
 AgentNode::AgentNode(const Settings &settings)
@@ -126,6 +140,21 @@
 
 AgentNode::~AgentNode() = default;
 
+void AgentNode::setReady(bool ready)
+{
+    m_implementation->base().status().setReady(ready);
+}
+
+void AgentNode::drain()
+{
+    m_implementation->drain();
+}
+
+bool AgentNode::isDrained() const
+{
+    return m_implementation->isDrained();
+}
+
 NodeAddress AgentNode::peerAddress() const
 {
     return m_implementation->ports().peerAddress();
--- /dev/null
+++ b/modules/app/agentobserver.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <lagoonroute/dispatch/events.h>
+#include <lagoonroute/observation/metrics.h>
+
+namespace lagoonroute
+{
+
+/** Logs and counts what an agent hears and decides. Used on the deciding thread only. */
+class AgentObserver
+{
+public:
+    /** Creates an observer that counts in the given registry, which must outlive it. */
+    explicit AgentObserver(MetricsRegistry &metrics);
+
+    /** Notes an event before the core handles it. */
+    void observe(const AgentEvent &event, Instant now);
+
+    /** Notes an action before it is carried out. */
+    void observe(const AgentAction &action, Instant now);
+
+private:
+    void observeView(const ShardView &view);
+    void observeEnd(const TaskId &task, Reason failure, Duration runTime);
+
+    MetricsRegistry &m_metrics;
+    DurationSummary &m_taskSeconds;
+};
+
+} // namespace lagoonroute
--- a/modules/app/commandline.cpp
+++ b/modules/app/commandline.cpp
@@ -1,5 +1,6 @@
 #include <lagoonroute/app/commandline.h>
 
+#include "noderunner.h"
 #include "solo.h"
 #include "stopsignal.h"
 #include "submitcommand.h"
@@ -42,9 +43,8 @@
     const Settings settings = Settings::fromFile(FLAGS_settings);
     startLogging(settings.node, settings.logLevel);
     blockStopSignals();
-    const Node node(settings);
-    waitForStopSignal();
-    return 0;
+    Node node(settings);
+    return runUntilStopped(node, ProcessLifecycle::Options().withWithdrawTime(settings.withdrawTime).withDrainLimit(settings.drainLimit));
 }
 
 int runSoloCommand()
--- a/modules/app/decisionthread.h
+++ b/modules/app/decisionthread.h
@@ -32,20 +32,29 @@
     ports.perform(std::move(action));
 };
 
+/** Watches what a core hears and decides, for logs and metrics. */
+template <typename Observer, typename Event, typename Action>
+concept DecisionObserver = requires(Observer observer, const Event &event, const Action &action, Instant now)
+{
+    observer.observe(event, now);
+    observer.observe(action, now);
+};
+
 /**
  * The thread on which one core decides.
  *
  * It waits for events of its ports or for the time the core asked for, whichever comes first.
  */
-template <typename Core, typename Event, typename Action, typename Ports>
-requires DecisionCore<Core, Event, Action> && DecisionPorts<Ports, Event, Action>
+template <typename Core, typename Event, typename Action, typename Ports, typename Observer>
+requires DecisionCore<Core, Event, Action> && DecisionPorts<Ports, Event, Action> && DecisionObserver<Observer, Event, Action>
 class DecisionThread
 {
 public:
     /** Creates the thread, not started. All references must outlive it; ports notify `signal`. */
-    DecisionThread(Core &core, Ports &ports, WakeSignal &signal)
+    DecisionThread(Core &core, Ports &ports, Observer &observer, WakeSignal &signal)
         : m_core(core)
         , m_ports(ports)
+        , m_observer(observer)
         , m_signal(signal)
         , m_control(controlCapacity, signal)
     {
@@ -71,6 +80,12 @@
         return m_control.push(std::move(event));
     }
 
+    /** Whether the core has no work left. Callable from any thread. */
+    [[nodiscard]] bool isDrained() const noexcept
+    {
+        return m_drained;
+    }
+
     /** Ends the thread at once. */
     void stop()
     {
@@ -88,8 +103,10 @@
     {
         while (!m_stopping) {
             const auto decide = [this](Event &&event) {
-                m_core.handle(event, MonotonicClock::now(), m_actions);
-                perform();
+                const Instant now = MonotonicClock::now();
+                m_observer.observe(event, now);
+                m_core.handle(event, now, m_actions);
+                perform(now);
             };
             m_control.drain(decide);
             m_ports.drain(decide);
@@ -97,13 +114,19 @@
             if (wake && *wake <= MonotonicClock::now()) {
                 decide(TimeElapsed{});
             }
+            if constexpr (requires { m_core.isDrained(); }) {
+                m_drained = m_core.isDrained();
+            } else {
+                m_drained = true;
+            }
             m_signal.waitUntil(m_core.nextWake());
         }
     }
 
-    void perform()
+    void perform(Instant now)
     {
         for (Action &action : m_actions) {
+            m_observer.observe(action, now);
             m_ports.perform(std::move(action));
         }
         m_actions.clear();
@@ -111,10 +134,12 @@
 
     Core &m_core;
     Ports &m_ports;
+    Observer &m_observer;
     WakeSignal &m_signal;
     BoundedRing<Event> m_control;
     std::vector<Action> m_actions;
     std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_drained = false;
     std::thread m_thread;
 };
 
--- a/modules/app/entrynode.cpp
+++ b/modules/app/entrynode.cpp
@@ -1,13 +1,13 @@
 #include <lagoonroute/app/entrynode.h>
 
 #include "decisionthread.h"
+#include "entryobserver.h"
+#include "nodebase.h"
 
 #include <lagoonroute/dispatch/entrycore.h>
 #include <lagoonroute/http/entryapi.h>
 #include <lagoonroute/transport/peertransport.h>
 
-#include <chrono>
-
 namespace lagoonroute
 {
 
@@ -18,9 +18,9 @@
 class EntryPorts
 {
 public:
-    EntryPorts(const Settings &settings, Incarnation incarnation, WakeSignal &signal)
+    EntryPorts(const Settings &settings, Incarnation incarnation, const OperatorPages &pages, WakeSignal &signal)
         : m_peers(PeerTransport::Options().withSelf(NodeId::fromName(settings.node), incarnation).withAddress(settings.peer), signal)
-        , m_callers(HttpServer::Options().withAddress(settings.http), signal)
+        , m_callers(HttpServer::Options().withAddress(settings.http), pages, signal)
     {
         for (const Member &member : settings.members) {
             m_peers.setPeer(member.id, member.address);
@@ -54,6 +54,16 @@
         return m_peers.address();
     }
 
+    [[nodiscard]] EntryApi &callers()
+    {
+        return m_callers;
+    }
+
+    [[nodiscard]] const EntryApi &callers() const
+    {
+        return m_callers;
+    }
+
     [[nodiscard]] NodeAddress httpAddress() const
     {
         return m_callers.address();
@@ -64,31 +74,17 @@
     EntryApi m_callers;
 };
 
-Incarnation incarnationOfNow()
-{
-    return static_cast<Incarnation>(std::chrono::system_clock::now().time_since_epoch().count());
-}
-
 } // namespace
 
 class EntryNode::Implementation
 {
 public:
     explicit Implementation(const Settings &settings)
-        : Implementation(settings, incarnationOfNow())
-    {
-    }
-
-    [[nodiscard]] const EntryPorts &ports() const
-    {
-        return m_ports;
-    }
-
-private:
-    Implementation(const Settings &settings, Incarnation incarnation)
-        : m_core(NodeId::fromName(settings.node), incarnation)
-        , m_ports(settings, incarnation, m_signal)
-        , m_thread(m_core, m_ports, m_signal)
+        : m_base(settings.node)
+        , m_observer(m_base.metrics())
+        , m_core(NodeId::fromName(settings.node), m_base.incarnation())
+        , m_ports(settings, m_base.incarnation(), m_base.pages(), m_signal)
+        , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         for (const ServiceRules &rules : settings.services) {
             m_thread.inject(RulesChanged{ rules });
@@ -99,10 +95,34 @@
         m_thread.start();
     }
 
+    [[nodiscard]] NodeBase &base()
+    {
+        return m_base;
+    }
+
+    void drain()
+    {
+        m_thread.inject(StopRequested{});
+        m_ports.callers().closeAfterResponses();
+    }
+
+    [[nodiscard]] bool isDrained() const
+    {
+        return m_thread.isDrained() && m_ports.callers().busy() == 0;
+    }
+
+    [[nodiscard]] const EntryPorts &ports() const
+    {
+        return m_ports;
+    }
+
+private:
+    NodeBase m_base;
     WakeSignal m_signal;
+    EntryObserver m_observer;
     EntryCore m_core;
     EntryPorts m_ports;
-    DecisionThread<EntryCore, EntryEvent, EntryAction, EntryPorts> m_thread;
+    DecisionThread<EntryCore, EntryEvent, EntryAction, EntryPorts, EntryObserver> m_thread;
 };
 
 EntryNode::EntryNode(const Settings &settings)
@@ -112,6 +132,21 @@
 
 EntryNode::~EntryNode() = default;
 
+void EntryNode::setReady(bool ready)
+{
+    m_implementation->base().status().setReady(ready);
+}
+
+void EntryNode::drain()
+{
+    m_implementation->drain();
+}
+
+bool EntryNode::isDrained() const
+{
+    return m_implementation->isDrained();
+}
+
 NodeAddress EntryNode::peerAddress() const
 {
     return m_implementation->ports().peerAddress();
--- /dev/null
+++ b/modules/app/entryobserver.cpp
@@ -0,0 +1,66 @@
+#include "entryobserver.h"
+
+#include "messagename.h"
+
+#include <lagoonroute/observation/log.h>
+
+namespace lagoonroute
+{
+
+EntryObserver::EntryObserver(MetricsRegistry &metrics)
+    : m_metrics(metrics)
+{
+}
+
+void EntryObserver::observe(const EntryEvent &event, Instant now)
+{
+    if (const auto *submitted = std::get_if<CallerSubmitted>(&event)) {
+        m_open.insert_or_assign(submitted->request, OpenRequest{ submitted->key, submitted->content.service, now });
+        m_metrics.counter("lagoonroute_jobs_submitted_total", { { "service", submitted->content.service } }).add();
+        logLine(LogLevel::Info,
+                "job submitted",
+                { { "job", submitted->job.toString() },
+                  { "key", submitted->key },
+                  { "service", submitted->content.service },
+                  { "caller", submitted->content.caller },
+                  { "tasks", static_cast<std::int64_t>(submitted->content.tasks.size()) } });
+    } else if (const auto *left = std::get_if<CallerLeft>(&event)) {
+        m_open.erase(left->request);
+        m_metrics.counter("lagoonroute_callers_left_total").add();
+    } else if (const auto *view = std::get_if<ViewChanged>(&event)) {
+        m_metrics.gauge("lagoonroute_view_epoch", { { "service", view->view.key.service } }).set(static_cast<std::int64_t>(view->view.epoch));
+    }
+}
+
+void EntryObserver::observe(const EntryAction &action, Instant now)
+{
+    if (const auto *send = std::get_if<SendMessage>(&action)) {
+        m_metrics.counter("lagoonroute_messages_sent_total", { { "type", std::string(messageName(send->message)) } }).add();
+    } else {
+        observeAnswer(std::get<AnswerCaller>(action), now);
+    }
+}
+
+void EntryObserver::observeAnswer(const AnswerCaller &answer, Instant now)
+{
+    const std::string outcome(toString(answer.answer.outcome));
+    const std::string reason(toString(answer.answer.reason));
+    m_metrics.counter("lagoonroute_answers_total", { { "outcome", outcome }, { "reason", reason } }).add();
+    const auto open = m_open.find(answer.request);
+    if (open == m_open.end()) {
+        return;
+    }
+    const Duration taken = now - open->second.since;
+    m_metrics.summary("lagoonroute_answer_seconds", { { "service", open->second.service } }).observe(taken);
+    logLine(LogLevel::Info,
+            "job answered",
+            { { "job", answer.job.toString() },
+              { "key", open->second.key },
+              { "outcome", outcome },
+              { "reason", reason },
+              { "detail", answer.answer.detail },
+              { "microseconds", taken.count() } });
+    m_open.erase(open);
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/app/entryobserver.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <lagoonroute/dispatch/events.h>
+#include <lagoonroute/observation/metrics.h>
+
+#include <string>
+#include <unordered_map>
+
+namespace lagoonroute
+{
+
+/** Logs and counts what an entry hears and decides. Used on the deciding thread only. */
+class EntryObserver
+{
+public:
+    /** Creates an observer that counts in the given registry, which must outlive it. */
+    explicit EntryObserver(MetricsRegistry &metrics);
+
+    /** Notes an event before the core handles it. */
+    void observe(const EntryEvent &event, Instant now);
+
+    /** Notes an action before it is carried out. */
+    void observe(const EntryAction &action, Instant now);
+
+private:
+    struct OpenRequest
+    {
+        std::string key;
+        std::string service;
+        Instant since;
+    };
+
+    void observeAnswer(const AnswerCaller &answer, Instant now);
+
+    MetricsRegistry &m_metrics;
+    std::unordered_map<std::uint64_t, OpenRequest> m_open;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/app/noderunner.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "processlifecycle.h"
+#include "stopsignal.h"
+
+#include <lagoonroute/observation/log.h>
+
+#include <concepts>
+
+namespace lagoonroute
+{
+
+/** A node that can be stopped as planned. */
+template <typename Node>
+concept StoppableNode = requires(Node node, const Node constNode)
+{
+    node.setReady(true);
+    node.drain();
+    {
+        constNode.isDrained()
+        } -> std::convertible_to<bool>;
+};
+
+/** Exit code of a process that stopped with work left. */
+inline constexpr int exitWorkCut = 5;
+
+/** Serves until a stop signal, then stops as planned. Returns 0, or exitWorkCut when work was left. */
+template <StoppableNode Node>
+int runUntilStopped(Node &node, const ProcessLifecycle::Options &options)
+{
+    constexpr Duration pollInterval = std::chrono::milliseconds(10);
+    ProcessLifecycle lifecycle(options);
+    lifecycle.started();
+    node.setReady(true);
+    logLine(LogLevel::Info, "serving", {});
+    waitForStopSignal();
+
+    node.setReady(false);
+    lifecycle.stopSignalled(MonotonicClock::now());
+    logLine(LogLevel::Info, "planned stop begun", {});
+    while (lifecycle.phase() != ProcessPhase::Stopped) {
+        const ProcessPhase before = lifecycle.phase();
+        if (waitForStopSignal(pollInterval)) {
+            lifecycle.stopSignalled(MonotonicClock::now());
+        }
+        lifecycle.update(MonotonicClock::now(), node.isDrained());
+        if (before == ProcessPhase::Withdrawing && lifecycle.phase() == ProcessPhase::Draining) {
+            node.drain();
+            logLine(LogLevel::Info, "draining", {});
+        }
+    }
+    if (lifecycle.wasCut()) {
+        logLine(LogLevel::Error, "stopped with work left", {});
+        return exitWorkCut;
+    }
+    logLine(LogLevel::Info, "stopped", {});
+    return 0;
+}
+
+} // namespace lagoonroute
--- a/modules/app/settings.cpp
+++ b/modules/app/settings.cpp
@@ -119,6 +119,12 @@
         settings.zone = textOr(object, "zone", "");
         settings.rack = textOr(object, "rack", "");
         settings.logLevel = textOr(object, "logLevel", "info");
+        if (object.contains("withdrawMs")) {
+            settings.withdrawTime = std::chrono::milliseconds(smallNumber(object, "withdrawMs"));
+        }
+        if (object.contains("drainLimitMs")) {
+            settings.drainLimit = std::chrono::milliseconds(smallNumber(object, "drainLimitMs"));
+        }
         for (const json::value &member : list(object, "members")) {
             settings.members.push_back(memberOf(member.as_object()));
         }
--- a/modules/app/stopsignal.cpp
+++ b/modules/app/stopsignal.cpp
@@ -1,6 +1,8 @@
 #include "stopsignal.h"
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 
 namespace lagoonroute
 {
@@ -25,11 +27,17 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-void waitForStopSignal()
+bool waitForStopSignal(std::optional<Duration> longest)
 {
     const sigset_t signals = stopSignals();
-    int received = 0;
-    sigwait(&signals, &received);
+    if (!longest) {
+        int received = 0;
+        return sigwait(&signals, &received) == 0;
+    }
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(*longest);
+    const auto nanoseconds = std::chrono::nanoseconds(*longest - seconds);
+    const timespec wait{ .tv_sec = seconds.count(), .tv_nsec = nanoseconds.count() };
+    return sigtimedwait(&signals, nullptr, &wait) > 0;
 }
 
 } // namespace lagoonroute
--- a/modules/http/entryapi.cpp
+++ b/modules/http/entryapi.cpp
@@ -44,8 +44,9 @@
 class EntryApi::Implementation
 {
 public:
-    Implementation(const HttpServer::Options &options, WakeSignal &inboundSignal)
+    Implementation(const HttpServer::Options &options, const OperatorPages &pages, WakeSignal &inboundSignal)
         : m_inbound(ringCapacity, inboundSignal)
+        , m_pages(pages)
         , m_server(options, [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
     {
     }
@@ -89,9 +90,9 @@
         if (request.method == "POST" && target->key.empty()) {
             submit(exchange, target->service);
         } else if (request.method == "GET" && !target->key.empty()) {
-            enqueue(exchange, CallerLookedUp{ m_nextRequest, target->service, jobOf(request, *target) });
+            enqueue(exchange, CallerLookedUp{ m_nextRequest, target->key, target->service, jobOf(request, *target) });
         } else if (request.method == "DELETE" && !target->key.empty()) {
-            enqueue(exchange, CallerCancelled{ m_nextRequest, target->service, jobOf(request, *target) });
+            enqueue(exchange, CallerCancelled{ m_nextRequest, target->key, target->service, jobOf(request, *target) });
         } else {
             exchange->respond(problemResponse(405, Reason::InvalidRequest, "the method does not fit the path"));
         }
@@ -122,7 +123,7 @@
             key = "generated-" + std::to_string(m_random()) + "-" + std::to_string(m_random());
         }
         const JobId id = JobId::fromSubmission(service, job.caller, key);
-        enqueue(exchange, CallerSubmitted{ m_nextRequest, id, std::move(job) });
+        enqueue(exchange, CallerSubmitted{ m_nextRequest, key, id, std::move(job) });
     }
 
     void enqueue(const std::shared_ptr<HttpExchange> &exchange, EntryEvent event)
@@ -154,11 +155,12 @@
     std::uint64_t m_nextRequest = 1;
     std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> m_waiting;
     std::mt19937_64 m_random{ std::random_device{}() };
+    const OperatorPages &m_pages;
     HttpServer m_server;
 };
 
-EntryApi::EntryApi(const HttpServer::Options &options, WakeSignal &inboundSignal)
-    : m_implementation(std::make_unique<Implementation>(options, inboundSignal))
+EntryApi::EntryApi(const HttpServer::Options &options, const OperatorPages &pages, WakeSignal &inboundSignal)
+    : m_implementation(std::make_unique<Implementation>(options, pages, inboundSignal))
 {
 }
 
@@ -174,9 +176,14 @@
     m_implementation->answer(std::move(answer));
 }
 
-void EntryApi::stopAccepting()
+void EntryApi::closeAfterResponses()
 {
-    m_implementation->server().stopAccepting();
+    m_implementation->server().closeAfterResponses();
+}
+
+std::size_t EntryApi::busy() const noexcept
+{
+    return m_implementation->server().busy();
 }
 
 BoundedRing<EntryEvent> &EntryApi::inbound()
--- a/modules/http/httpserver.cpp
+++ b/modules/http/httpserver.cpp
@@ -80,13 +80,14 @@
         boost::asio::post(m_loop, std::move(function));
     }
 
-    void stopAccepting()
+    void closeAfterResponses()
     {
-        post([this] {
-            boost::system::error_code ignored;
-            m_acceptor.close(ignored);
-            m_acceptTimer.cancel();
-        });
+        m_state.closing = true;
+    }
+
+    [[nodiscard]] std::size_t busy() const noexcept
+    {
+        return m_state.busy;
     }
 
 private:
@@ -132,16 +133,14 @@
 
     void startSession(tcp::socket socket)
     {
-        if (m_connections >= m_options.maxConnections) {
-            return;
+        if (m_state.connections < m_options.maxConnections) {
+            std::make_shared<HttpSession>(std::move(socket), m_options, m_handler, m_state)->start();
         }
-        ++m_connections;
-        std::make_shared<HttpSession>(std::move(socket), m_options, m_handler, [this] { --m_connections; })->start();
     }
 
     Options m_options;
     Handler m_handler;
-    std::size_t m_connections = 0;
+    HttpServerState m_state;
     boost::asio::io_context m_loop{ 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     tcp::acceptor m_acceptor;
@@ -167,9 +166,14 @@
     m_implementation->post(std::move(function));
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::closeAfterResponses()
+{
+    m_implementation->closeAfterResponses();
+}
+
+std::size_t HttpServer::busy() const noexcept
 {
-    m_implementation->stopAccepting();
+    return m_implementation->busy();
 }
 
 } // namespace lagoonroute
--- a/modules/http/httpsession.cpp
+++ b/modules/http/httpsession.cpp
@@ -55,20 +55,19 @@
     std::function<void()> m_onClosed;
 };
 
-HttpSession::HttpSession(boost::asio::ip::tcp::socket socket,
-                         const HttpServer::Options &options,
-                         const HttpServer::Handler &handler,
-                         std::function<void()> onEnd)
+HttpSession::HttpSession(boost::asio::ip::tcp::socket socket, const HttpServer::Options &options, const HttpServer::Handler &handler, HttpServerState &state)
     : m_stream(std::move(socket))
     , m_options(options)
     , m_handler(handler)
-    , m_onEnd(std::move(onEnd))
+    , m_state(state)
 {
+    ++m_state.connections;
 }
 
 HttpSession::~HttpSession()
 {
-    m_onEnd();
+    finish();
+    --m_state.connections;
 }
 
 void HttpSession::start()
@@ -111,6 +110,8 @@
     m_response.version(message.version());
     m_response.keep_alive(message.keep_alive());
     m_isAnswered = false;
+    m_isBusy = true;
+    ++m_state.busy;
     const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request));
     m_exchange = exchange;
     m_handler(exchange);
@@ -139,6 +140,9 @@
     if (std::exchange(m_isAnswered, true)) {
         return;
     }
+    if (m_state.closing) {
+        m_response.keep_alive(false);
+    }
     m_response.result(response.status);
     m_response.set(http::field::content_type, response.contentType);
     for (const auto &[name, value] : response.fields) {
@@ -148,6 +152,7 @@
     m_response.prepare_payload();
     m_stream.expires_after(m_options.requestTimeout);
     http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        self->finish();
         if (error || !self->m_response.keep_alive()) {
             self->close();
             return;
@@ -176,8 +181,16 @@
     });
 }
 
+void HttpSession::finish()
+{
+    if (std::exchange(m_isBusy, false)) {
+        --m_state.busy;
+    }
+}
+
 void HttpSession::close()
 {
+    finish();
     beast::error_code ignored;
     m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     m_stream.close();
--- a/modules/http/httpsession.h
+++ b/modules/http/httpsession.h
@@ -7,18 +7,26 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <functional>
+#include <atomic>
 #include <memory>
 #include <optional>
 
 namespace lagoonroute
 {
 
+/** What the connections of one server share. */
+struct HttpServerState
+{
+    std::size_t connections = 0; /**< Open connections; touched on the server's thread only. */
+    std::atomic<std::size_t> busy = 0; /**< Requests without a written response. */
+    std::atomic<bool> closing = false; /**< Whether connections close after their next response. */
+};
+
 /** Connection of one client: reads a request, has it handled, writes the response, and so on. */
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
-    HttpSession(boost::asio::ip::tcp::socket socket, const HttpServer::Options &options, const HttpServer::Handler &handler, std::function<void()> onEnd);
+    HttpSession(boost::asio::ip::tcp::socket socket, const HttpServer::Options &options, const HttpServer::Handler &handler, HttpServerState &state);
     ~HttpSession();
 
     HttpSession(const HttpSession &) = delete;
@@ -35,17 +43,19 @@
     void refuse(boost::beast::error_code error);
     void write(HttpResponse response);
     void watchForClose();
+    void finish();
     void close();
 
     boost::beast::tcp_stream m_stream;
     const HttpServer::Options &m_options;
     const HttpServer::Handler &m_handler;
-    std::function<void()> m_onEnd;
+    HttpServerState &m_state;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
     std::weak_ptr<Exchange> m_exchange;
     bool m_isAnswered = true;
+    bool m_isBusy = false;
 };
 
 } // namespace lagoonroute
--- a/modules/http/upstreamgateway.cpp
+++ b/modules/http/upstreamgateway.cpp
@@ -66,9 +66,10 @@
 class UpstreamGateway::Implementation
 {
 public:
-    Implementation(const HttpServer::Options &options, WakeSignal &inboundSignal)
+    Implementation(const HttpServer::Options &options, const OperatorPages &pages, WakeSignal &inboundSignal)
         : m_announcements(ringCapacity, inboundSignal)
         , m_replies(ringCapacity, inboundSignal)
+        , m_pages(pages)
         , m_server(options, [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
     {
     }
@@ -173,11 +174,12 @@
     BoundedRing<AgentEvent> m_announcements;
     BoundedRing<AgentEvent> m_replies;
     HttpClient m_client;
+    const OperatorPages &m_pages;
     HttpServer m_server;
 };
 
-UpstreamGateway::UpstreamGateway(const HttpServer::Options &options, WakeSignal &inboundSignal)
-    : m_implementation(std::make_unique<Implementation>(options, inboundSignal))
+UpstreamGateway::UpstreamGateway(const HttpServer::Options &options, const OperatorPages &pages, WakeSignal &inboundSignal)
+    : m_implementation(std::make_unique<Implementation>(options, pages, inboundSignal))
 {
 }
 
