--- /dev/null
+++ b/tests/harness/deployment.cpp
@@ -0,0 +1,261 @@
+#include "deployment.h"
+
+#include "waiting.h"
+
+#include <lagoonroute/http/httpclient.h>
+
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <unistd.h>
+
+namespace lagoonroute::harness
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::uint16_t firstPort = 10000; // Below the range from which the system takes ports of outgoing connections.
+constexpr std::size_t zones = 3;
+constexpr std::size_t agentsPerRack = 3;
+constexpr std::chrono::seconds fetchTimeout{ 2 };
+
+/** Returns an IP number of the loopback network that no other test runner uses meanwhile. */
+std::string ownIp()
+{
+    const auto pid = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + ((pid >> 16U) & 0x7FU)) + "." + std::to_string((pid >> 8U) & 0xFFU) + "." + std::to_string(pid & 0xFFU);
+}
+
+json::object jsonOf(const NodeAddress &address)
+{
+    return { { "ip", address.ip }, { "port", address.port } };
+}
+
+} // namespace
+
+Deployment::Options Deployment::Options::withEntries(std::size_t value) const
+{
+    Options changed = *this;
+    changed.entries = value;
+    return changed;
+}
+
+Deployment::Options Deployment::Options::withAgents(std::size_t value) const
+{
+    Options changed = *this;
+    changed.agents = value;
+    return changed;
+}
+
+Deployment::Options Deployment::Options::withSlots(std::uint16_t value) const
+{
+    Options changed = *this;
+    changed.slots = value;
+    return changed;
+}
+
+Deployment::Options Deployment::Options::withSeed(std::uint64_t value) const
+{
+    Options changed = *this;
+    changed.seed = value;
+    return changed;
+}
+
+Deployment::Options Deployment::Options::withProxies() const
+{
+    Options changed = *this;
+    changed.proxied = true;
+    return changed;
+}
+
+Deployment::Deployment(const Options &options)
+    : m_options(options)
+    , m_folder(std::filesystem::temp_directory_path() / ("lagoonroute-" + std::to_string(getpid())))
+    , m_ip(ownIp())
+    , m_nextPort(firstPort)
+{
+    std::filesystem::create_directories(m_folder);
+    for (std::size_t index = 0; index < options.agents; ++index) {
+        plan("agent-", index, false);
+    }
+    for (std::size_t index = 0; index < options.entries; ++index) {
+        plan("entry-", index, true);
+    }
+    std::vector<NodeAddress> entries;
+    for (auto &[name, node] : m_nodes) {
+        writeSettings(node);
+        start(node);
+        if (node.isEntry) {
+            entries.push_back(node.http);
+        }
+    }
+    for (std::size_t index = 0; index < options.agents; ++index) {
+        const std::string name = "agent-" + std::to_string(index);
+        const auto upstream = StandInUpstream::Options().withName("upstream-" + std::to_string(index)).withIp(m_ip);
+        m_upstreams.push_back(std::make_unique<StandInUpstream>(upstream.withSlots(options.slots).withAgent(m_nodes.at(name).http), m_log));
+    }
+    for (const auto &upstream : m_upstreams) {
+        waitUntil([&upstream] { return upstream->isAnnounced(); }, "the announcement of an upstream");
+    }
+    for (const auto &[name, node] : m_nodes) {
+        waitUntilReady(name);
+    }
+    m_caller = std::make_unique<Caller>(std::move(entries), options.seed);
+}
+
+Deployment::~Deployment()
+{
+    m_caller.reset();
+    m_upstreams.clear();
+    for (auto &[name, node] : m_nodes) {
+        node.process.reset();
+    }
+    if (std::uncaught_exceptions() > 0) {
+        printLogs();
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+ChildProcess &Deployment::process(const std::string &name)
+{
+    return *m_nodes.at(name).process;
+}
+
+void Deployment::restart(const std::string &name)
+{
+    Node &node = m_nodes.at(name);
+    node.process.reset();
+    start(node);
+    waitUntilReady(name);
+}
+
+FaultProxy &Deployment::proxy(const std::string &name)
+{
+    return *m_nodes.at(name).proxy;
+}
+
+StandInUpstream &Deployment::upstream(std::size_t agent)
+{
+    return *m_upstreams.at(agent);
+}
+
+void Deployment::killUpstream(std::size_t agent)
+{
+    m_upstreams.at(agent).reset();
+}
+
+Caller &Deployment::caller()
+{
+    return *m_caller;
+}
+
+StartLog &Deployment::log()
+{
+    return m_log;
+}
+
+std::optional<std::string> Deployment::fetch(const std::string &name, const std::string &path)
+{
+    HttpClient client;
+    const HttpResult result = client.callAndWait(m_nodes.at(name).http, HttpRequest{ .method = "GET", .target = path }, fetchTimeout);
+    if (!result.response || result.response->status != 200) {
+        return std::nullopt;
+    }
+    return result.response->body;
+}
+
+void Deployment::waitUntilReady(const std::string &name)
+{
+    waitUntil([&] { return fetch(name, "/ready").has_value() || !process(name).isRunning(); }, name + " to be ready");
+    if (!process(name).isRunning()) {
+        throw Error(name + " ended with " + std::to_string(process(name).wait()));
+    }
+}
+
+Evidence Deployment::evidence() const
+{
+    Evidence evidence;
+    evidence.calls = m_caller->calls();
+    m_log.copyTo(evidence);
+    return evidence;
+}
+
+void Deployment::plan(const std::string &prefix, std::size_t index, bool isEntry)
+{
+    Node node;
+    node.name = prefix + std::to_string(index);
+    node.isEntry = isEntry;
+    node.peer = nextAddress();
+    node.http = nextAddress();
+    node.zone = "zone-" + std::to_string(index % zones);
+    node.rack = node.zone + "-rack-" + std::to_string(index / (zones * agentsPerRack));
+    if (m_options.proxied) {
+        node.proxy = std::make_unique<FaultProxy>(m_ip, node.peer, m_options.seed + index);
+    }
+    m_nodes.emplace(node.name, std::move(node));
+}
+
+void Deployment::writeSettings(const Node &node) const
+{
+    json::array members;
+    for (const auto &[name, other] : m_nodes) {
+        const bool direct = !other.proxy || name == node.name;
+        json::object member{ { "node", name },
+                             { "role", other.isEntry ? "entry" : "agent" },
+                             { "zone", other.zone },
+                             { "rack", other.rack },
+                             { "peer", jsonOf(direct ? other.peer : other.proxy->address()) } };
+        if (!other.isEntry) {
+            member["offers"] = json::array{ { { "service", "booking" }, { "slots", m_options.slots }, { "connections", m_options.slots } } };
+        }
+        members.push_back(std::move(member));
+    }
+    json::object view{ { "service", "booking" }, { "home", "agent-0" } };
+    if (m_options.agents > 1) {
+        view["mirror"] = "agent-1";
+    }
+    const json::object settings{ { "node", node.name },
+                                 { "peer", jsonOf(node.peer) },
+                                 { "http", jsonOf(node.http) },
+                                 { "zone", node.zone },
+                                 { "rack", node.rack },
+                                 { "members", std::move(members) },
+                                 { "services", json::array{ { { "name", "booking" } } } },
+                                 { "views", json::array{ view } } };
+    std::ofstream(file(node, ".json")) << json::serialize(settings);
+}
+
+void Deployment::start(Node &node)
+{
+    const std::vector<std::string> command{ LAGOONROUTE_PROGRAM, node.isEntry ? "entry" : "agent", "--settings", file(node, ".json").string() };
+    node.process = std::make_unique<ChildProcess>(command, file(node, ".log").string());
+}
+
+std::filesystem::path Deployment::file(const Node &node, const char *suffix) const
+{
+    return m_folder / (node.name + suffix);
+}
+
+NodeAddress Deployment::nextAddress()
+{
+    return { m_ip, m_nextPort++ };
+}
+
+void Deployment::printLogs() const
+{
+    constexpr std::size_t lastBytes = 1500;
+    for (const auto &[name, node] : m_nodes) {
+        std::ifstream log(file(node, ".log"));
+        const std::string text((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+        std::cerr << "--- end of the log of " << name << "\n" << text.substr(text.size() > lastBytes ? text.size() - lastBytes : 0);
+    }
+}
+
+} // namespace lagoonroute::harness
