Configuration: model, canonical JSON, checks and differences

Cause: operators need a value that they build, print, review and compare. Change: Configuration and Places with builders; one field table drives checking, printing and parsing, so the three can't drift apart.

--- a/include/lagoonroute/configuration/configuration.h
+++ b/include/lagoonroute/configuration/configuration.h
@@ -8,5 +8,9 @@
  */
 
 #include <lagoonroute/configuration/checkfault.h>
+#include <lagoonroute/configuration/configurationdiff.h>
+#include <lagoonroute/configuration/configurationjson.h>
+#include <lagoonroute/configuration/configurationmodel.h>
+#include <lagoonroute/configuration/places.h>
 #include <lagoonroute/configuration/resources.h>
 #include <lagoonroute/configuration/servicerules.h>
--- a/modules/configuration/fieldchecker.h
+++ b/modules/configuration/fieldchecker.h
@@ -43,7 +43,7 @@
     template <typename T>
     void section(std::string_view name, const T &value)
     {
-        checkValue(childPlace(m_place, name), value);
+        checkValue(childPlace(m_place, name), value, m_faults);
     }
 
     template <typename T>
@@ -51,7 +51,7 @@
     {
         count(name, values.size(), maxCount);
         for (std::size_t index = 0; index < values.size(); ++index) {
-            checkValue(childPlace(childPlace(m_place, name), std::to_string(index)), values[index]);
+            checkValue(childPlace(childPlace(m_place, name), std::to_string(index)), values[index], m_faults);
         }
     }
 
@@ -65,19 +65,11 @@
             if (!hasForm(key, TextForm::Name)) {
                 add(entryPlace, quoted(key), description(TextForm::Name));
             }
-            checkValue(entryPlace, value);
+            checkValue(entryPlace, value, m_faults);
         }
     }
 
 private:
-    template <typename T>
-    void checkValue(const std::string &place, const T &value)
-    {
-        FieldChecker checker(place, m_faults);
-        FieldsOf<T>::visit(value, checker);
-        checkRelations(place, value, m_faults);
-    }
-
     void add(std::string place, std::string value, std::string_view allowed);
     void count(std::string_view name, std::size_t size, std::size_t maxCount);
 
@@ -97,6 +89,15 @@
 /** The default deadline must not exceed the largest. */
 void checkRelations(const std::string &place, const ServiceRules &rules, std::vector<CheckFault> &faults);
 
+/** Checks every field of the value, and what its fields must satisfy together. */
+template <typename T>
+void checkValue(const std::string &place, const T &value, std::vector<CheckFault> &faults)
+{
+    FieldChecker checker(place, faults);
+    FieldsOf<T>::visit(value, checker);
+    checkRelations(place, value, faults);
+}
+
 /** Throws InvalidConfiguration when the named value has a fault; `section` is the part of the document it stands in. */
 template <typename T>
 void throwUnlessValid(const std::string &section, const std::string &name, const T &value)
