Submission keys by the service's rules

Cause: careless callers send no Idempotency-Key, so their resubmissions would run again. Targets are parsed by Boost.URL.

--- a/include/lagoonroute/http/entryapi.h
+++ b/include/lagoonroute/http/entryapi.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <lagoonroute/base/boundedring.h>
+#include <lagoonroute/configuration/servicerules.h>
 #include <lagoonroute/dispatch/events.h>
 #include <lagoonroute/http/httpserver.h>
 #include <lagoonroute/http/operatorpages.h>
 
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace lagoonroute
@@ -37,6 +39,12 @@
         inbound().drain(std::forward<Consumer>(consume));
     }
 
+    /** Serves a service under these rules from now on. Called by the thread that decides only. */
+    void setRules(ServiceRules rules);
+
+    /** Refuses a service from now on. Called by the thread that decides only. */
+    void removeRules(std::string service);
+
     /** Sends an answer to its caller. Called by the thread that decides only. */
     void answer(AnswerCaller answer);
 
--- a/modules/app/entrynode.cpp
+++ b/modules/app/entrynode.cpp
@@ -87,6 +87,7 @@
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         for (const ServiceRules &rules : settings.services) {
+            m_ports.callers().setRules(rules);
             m_thread.inject(RulesChanged{ rules });
         }
         for (const ShardView &view : settings.views) {
--- a/modules/http/callerjson.cpp
+++ b/modules/http/callerjson.cpp
@@ -1,5 +1,7 @@
 #include "callerjson.h"
 
+#include "submissionkey.h"
+
 #include <lagoonroute/base/errors.h>
 
 #include <boost/json.hpp>
@@ -14,7 +16,7 @@
 namespace
 {
 
-constexpr std::int64_t maxDeadlineMilliseconds = 24LL * 3600 * 1000;
+constexpr std::int64_t maxRunTimeMilliseconds = 24LL * 3600 * 1000;
 
 std::int64_t integerMember(const json::object &object, const char *name, std::int64_t smallest, std::int64_t largest, std::int64_t absent)
 {
@@ -58,11 +60,35 @@
     if (const json::value *body = object.if_contains("body")) {
         task.body = json::serialize(*body);
     }
-    task.declaredRunTime = std::chrono::milliseconds(integerMember(object, "runTimeMs", 0, maxDeadlineMilliseconds, 0));
+    task.declaredRunTime = std::chrono::milliseconds(integerMember(object, "runTimeMs", 0, maxRunTimeMilliseconds, 0));
     task.need = parseNeed(object);
     return task;
 }
 
+JobRequest parseJob(const json::object &object, const ServiceRules &rules)
+{
+    const json::value *tasks = object.if_contains("tasks");
+    const bool isList = tasks != nullptr && tasks->is_array() && !tasks->get_array().empty();
+    if (!isList || tasks->get_array().size() > rules.largestTaskCount()) {
+        throw InvalidDocument("member \"tasks\" must be an array of 1 to " + std::to_string(rules.largestTaskCount()) + " tasks");
+    }
+    const auto largestDeadline = std::chrono::floor<std::chrono::milliseconds>(rules.largestDeadline()).count();
+    JobRequest job;
+    job.timeRemaining = std::chrono::milliseconds(integerMember(object, "deadlineMs", 1, largestDeadline, 0));
+    job.idempotent = !rules.isNonIdempotentByDefault();
+    if (const json::value *idempotent = object.if_contains("idempotent")) {
+        if (!idempotent->is_bool()) {
+            throw InvalidDocument(R"(member "idempotent" must be true or false)");
+        }
+        job.idempotent = idempotent->get_bool();
+    }
+    job.tasks.reserve(tasks->get_array().size());
+    for (const json::value &task : tasks->get_array()) {
+        job.tasks.push_back(parseTask(task));
+    }
+    return job;
+}
+
 unsigned statusOf(const JobAnswer &answer)
 {
     switch (answer.reason) {
@@ -113,35 +139,33 @@
 
 } // namespace
 
-JobRequest parseJobRequest(const std::string &body)
+CallerSubmission parseSubmission(const HttpRequest &request, const ServiceRules &rules)
 {
+    if (request.body.size() > rules.largestBodyBytes()) {
+        throw InvalidDocument("the body is larger than the " + std::to_string(rules.largestBodyBytes()) + " bytes that the service allows");
+    }
     json::error_code error;
-    const json::value document = json::parse(body, error);
+    const json::value document = json::parse(request.body, error);
     if (error) {
         throw InvalidDocument("the body is not JSON: " + error.message());
     }
     if (!document.is_object()) {
         throw InvalidDocument("the body must be a JSON object");
     }
-    const json::object &object = document.get_object();
-    const json::value *tasks = object.if_contains("tasks");
-    if (tasks == nullptr || !tasks->is_array() || tasks->get_array().empty() || tasks->get_array().size() > maxTasksPerJob) {
-        throw InvalidDocument("member \"tasks\" must be an array of 1 to " + std::to_string(maxTasksPerJob) + " tasks");
-    }
-    JobRequest job;
-    job.bodyDigest = Digest::of(body);
-    job.timeRemaining = std::chrono::milliseconds(integerMember(object, "deadlineMs", 1, maxDeadlineMilliseconds, 0));
-    if (const json::value *idempotent = object.if_contains("idempotent")) {
-        if (!idempotent->is_bool()) {
-            throw InvalidDocument(R"(member "idempotent" must be true or false)");
-        }
-        job.idempotent = idempotent->get_bool();
-    }
-    job.tasks.reserve(tasks->get_array().size());
-    for (const json::value &task : tasks->get_array()) {
-        job.tasks.push_back(parseTask(task));
-    }
-    return job;
+    CallerSubmission submission;
+    submission.key = findSubmissionKey(rules.keyRules(), request, document);
+    submission.job = parseJob(document.get_object(), rules);
+    submission.job.service = rules.name();
+    submission.job.caller = callerOf(request);
+    submission.job.bodyDigest = Digest::of(request.body);
+    submission.job.keyTime = timeOfKey(submission.key);
+    return submission;
+}
+
+std::string callerOf(const HttpRequest &request)
+{
+    const std::string caller = fieldValue(request.fields, "Lagoonroute-Caller");
+    return caller.empty() ? "anonymous" : caller;
 }
 
 HttpResponse responseTo(const JobId &job, const JobAnswer &answer)
--- a/modules/http/callerjson.h
+++ b/modules/http/callerjson.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <lagoonroute/configuration/servicerules.h>
 #include <lagoonroute/dispatch/job.h>
 #include <lagoonroute/http/httpmessage.h>
 
@@ -8,13 +9,22 @@
 namespace lagoonroute
 {
 
+/** A caller's submission as its request describes it. */
+struct CallerSubmission
+{
+    std::string key; /**< Empty when the request has none. */
+    JobRequest job;
+};
+
 /**
- * Returns the job in the JSON body of a caller's submission.
+ * Returns the submission in a caller's request to a service.
  *
- * Service, caller and key are not part of the body and stay empty. Throws InvalidDocument, naming the member that is
- * wrong.
+ * Throws InvalidDocument, naming the member that is wrong and what is allowed.
  */
-JobRequest parseJobRequest(const std::string &body);
+CallerSubmission parseSubmission(const HttpRequest &request, const ServiceRules &rules);
+
+/** Returns the name of the caller that sent the request. */
+std::string callerOf(const HttpRequest &request);
 
 /** Returns the HTTP response to a job: 200 with the results, or problem details (RFC 9457). */
 HttpResponse responseTo(const JobId &job, const JobAnswer &answer);
--- a/modules/http/entryapi.cpp
+++ b/modules/http/entryapi.cpp
@@ -4,9 +4,10 @@
 
 #include <lagoonroute/base/errors.h>
 
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 
+#include <map>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -18,9 +19,6 @@
 {
 
 constexpr std::size_t ringCapacity = 8192;
-constexpr std::size_t maxKeyBytes = 255;
-constexpr const char *defaultCaller = "anonymous";
-
 /** Parts of a target of the form /v1/services/{service}/jobs[/{key}]. */
 struct JobTarget
 {
@@ -30,13 +28,19 @@
 
 std::optional<JobTarget> parseTarget(const std::string &target)
 {
+    const auto url = boost::urls::parse_origin_form(target);
+    if (!url) {
+        return std::nullopt;
+    }
     std::vector<std::string> parts;
-    boost::split(parts, target, boost::is_any_of("/"));
-    const bool hasShape = (parts.size() == 5 || parts.size() == 6) && parts[0].empty() && parts[1] == "v1" && parts[2] == "services" && parts[4] == "jobs";
-    if (!hasShape || parts[3].empty()) {
+    for (const auto segment : url->segments()) {
+        parts.emplace_back(segment);
+    }
+    const bool hasShape = (parts.size() == 4 || parts.size() == 5) && parts[0] == "v1" && parts[1] == "services" && parts[3] == "jobs";
+    if (!hasShape || parts[2].empty()) {
         return std::nullopt;
     }
-    return JobTarget{ parts[3], parts.size() == 6 ? parts[5] : std::string() };
+    return JobTarget{ parts[2], parts.size() == 5 ? parts[4] : std::string() };
 }
 
 } // namespace
@@ -61,6 +65,16 @@
         return m_server;
     }
 
+    void setRules(ServiceRules rules)
+    {
+        m_server.post([this, rules = std::move(rules)] { m_rules.insert_or_assign(rules.name(), rules); });
+    }
+
+    void removeRules(std::string service)
+    {
+        m_server.post([this, service = std::move(service)] { m_rules.erase(service); });
+    }
+
     void answer(AnswerCaller answer)
     {
         m_server.post([this, answer = std::move(answer)] {
@@ -100,30 +114,25 @@
 
     void submit(const std::shared_ptr<HttpExchange> &exchange, const std::string &service)
     {
-        const HttpRequest &request = exchange->request();
-        JobRequest job;
+        const auto rules = m_rules.find(service);
+        if (rules == m_rules.end()) {
+            exchange->respond(problemResponse(404, Reason::UnknownService, "no service of this name is defined"));
+            return;
+        }
         try {
-            job = parseJobRequest(request.body);
+            CallerSubmission submission = parseSubmission(exchange->request(), rules->second);
+            if (submission.key.empty() && !submission.job.idempotent) {
+                exchange->respond(problemResponse(400, Reason::MissingKey, "a request that is not idempotent needs a submission key"));
+                return;
+            }
+            if (submission.key.empty()) {
+                submission.key = "generated-" + std::to_string(m_random()) + "-" + std::to_string(m_random());
+            }
+            const JobId id = JobId::fromSubmission(service, submission.job.caller, submission.key);
+            enqueue(exchange, CallerSubmitted{ m_nextRequest, submission.key, id, std::move(submission.job) });
         } catch (const InvalidDocument &error) {
             exchange->respond(problemResponse(400, Reason::InvalidRequest, error.what()));
-            return;
-        }
-        job.service = service;
-        job.caller = callerOf(request);
-        std::string key = fieldValue(request.fields, "Idempotency-Key");
-        if (key.size() > maxKeyBytes) {
-            exchange->respond(problemResponse(400, Reason::InvalidRequest, "the submission key is longer than " + std::to_string(maxKeyBytes) + " bytes"));
-            return;
-        }
-        if (key.empty() && !job.idempotent) {
-            exchange->respond(problemResponse(400, Reason::MissingKey, "a request that is not idempotent needs an Idempotency-Key"));
-            return;
-        }
-        if (key.empty()) {
-            key = "generated-" + std::to_string(m_random()) + "-" + std::to_string(m_random());
         }
-        const JobId id = JobId::fromSubmission(service, job.caller, key);
-        enqueue(exchange, CallerSubmitted{ m_nextRequest, key, id, std::move(job) });
     }
 
     void enqueue(const std::shared_ptr<HttpExchange> &exchange, EntryEvent event)
@@ -140,12 +149,6 @@
         });
     }
 
-    static std::string callerOf(const HttpRequest &request)
-    {
-        const std::string caller = fieldValue(request.fields, "Lagoonroute-Caller");
-        return caller.empty() ? defaultCaller : caller;
-    }
-
     static JobId jobOf(const HttpRequest &request, const JobTarget &target)
     {
         return JobId::fromSubmission(target.service, callerOf(request), target.key);
@@ -154,6 +157,7 @@
     BoundedRing<EntryEvent> m_inbound;
     std::uint64_t m_nextRequest = 1;
     std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> m_waiting;
+    std::map<std::string, ServiceRules> m_rules;
     std::mt19937_64 m_random{ std::random_device{}() };
     const OperatorPages &m_pages;
     HttpServer m_server;
@@ -171,6 +175,16 @@
     return m_implementation->server().address();
 }
 
+void EntryApi::setRules(ServiceRules rules)
+{
+    m_implementation->setRules(std::move(rules));
+}
+
+void EntryApi::removeRules(std::string service)
+{
+    m_implementation->removeRules(std::move(service));
+}
+
 void EntryApi::answer(AnswerCaller answer)
 {
     m_implementation->answer(std::move(answer));
