Rings move their values instead of copying them

Cause: the queue's push of one value copies it, so each message body was copied at every ring. Change: push through a move iterator. Measured: the test sees the same bytes before and after (fails with the old push: other address).

--- a/include/lagoonroute/base/boundedring.h
+++ b/include/lagoonroute/base/boundedring.h
@@ -4,6 +4,7 @@
 
 #include <boost/lockfree/spsc_queue.hpp>
 
+#include <iterator>
 #include <thread>
 #include <utility>
 
@@ -37,10 +38,9 @@
     /** Appends the value. Returns false, and leaves `value` as it was, when the ring is full. */
     bool push(T &&value)
     {
-        if (m_queue.write_available() == 0) {
+        if (!moveIn(value)) {
             return false;
         }
-        m_queue.push(std::move(value));
         m_signal.notify();
         return true;
     }
@@ -48,10 +48,9 @@
     /** Appends the value, waiting on this thread while the ring is full. */
     void pushWhenFree(T &&value)
     {
-        while (m_queue.write_available() == 0) {
+        while (!moveIn(value)) {
             std::this_thread::yield();
         }
-        m_queue.push(std::move(value));
         m_signal.notify();
     }
 
@@ -63,6 +62,13 @@
     }
 
 private:
+    /** Moves the value in when there is room. The queue's own push of one value would copy it. */
+    bool moveIn(T &value)
+    {
+        const auto first = std::make_move_iterator(&value);
+        return m_queue.push(first, first + 1) != first;
+    }
+
     boost::lockfree::spsc_queue<T> m_queue;
     Signal &m_signal;
 };
--- a/modules/base/tests/identifierstest.cpp
+++ b/modules/base/tests/identifierstest.cpp
@@ -29,4 +29,18 @@
     BOOST_TEST(sum == 3);
 }
 
+BOOST_AUTO_TEST_CASE(RingMovesItsValues)
+{
+    WakeSignal signal;
+    BoundedRing<std::string> ring(1, signal);
+    std::string first(100, 'a');
+    std::string second(100, 'b');
+    const char *const bytes = first.data();
+    const bool isTaken = ring.push(std::move(first));
+    const bool isTakenToo = ring.push(std::move(second));
+    BOOST_TEST(isTaken);
+    BOOST_TEST(!isTakenToo);
+    ring.drain([bytes](std::string &&value) { BOOST_TEST((value.data() == bytes)); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
