Home, mirror, executor and entry decide for themselves under failure

Nothing was recorded at a mirror, a change of view dropped every job, a lost message or worker left a job open for ever, and a late copy of a start could run a task again. Change: life cycles of job and task as Boost.MSM machines, read once into a table so that a record keeps one byte of state; MirrorCore with epochs and cumulative acknowledgements; a home that starts nothing before its mirror has job and assignment under its epoch, transfers its records to a new mirror, is built from a mirror's records at promotion and asks the executors named in them; an executor with one decision point, a short queue, remembered refusals and repeated results; an entry that repeats, follows redirects and says "not run" of its own only for what it never sent. Without a mirror a home starts tasks only while StartsAllowed says so, so static views get that event in the agent.

--- a/include/lagoonroute/dispatch/dispatch.h
+++ b/include/lagoonroute/dispatch/dispatch.h
@@ -17,4 +17,5 @@
 #include <lagoonroute/dispatch/homecore.h>
 #include <lagoonroute/dispatch/job.h>
 #include <lagoonroute/dispatch/messages.h>
+#include <lagoonroute/dispatch/mirrorcore.h>
 #include <lagoonroute/dispatch/shardview.h>
--- a/include/lagoonroute/dispatch/entrycore.h
+++ b/include/lagoonroute/dispatch/entrycore.h
@@ -4,7 +4,10 @@
 
 #include <map>
 #include <optional>
+#include <random>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lagoonroute
@@ -13,13 +16,14 @@
 /**
  * Decides for an entry: sends each caller's request to the home of its shard and hands the answer back.
  *
- * It holds nothing that must outlive it. Answers that nobody waits for are dropped.
+ * It holds nothing that must outlive it. Requests are repeated when a connection breaks, the view changes, a home sends
+ * them on, or after a long silence. It says "not run" of its own only for what it never sent.
  */
 class EntryCore
 {
 public:
-    /** Creates the core of the entry with the given identity. */
-    EntryCore(NodeId self, Incarnation incarnation);
+    /** Creates the core of one life of the entry; `seed` feeds the jitter of repetitions. */
+    EntryCore(NodeId self, Incarnation incarnation, std::uint64_t seed = 0);
 
     /** Handles one event and appends the actions it calls for. */
     void handle(const EntryEvent &event, Instant now, std::vector<EntryAction> &actions);
@@ -33,27 +37,61 @@
         return m_pending.size();
     }
 
+    /** Whether a planned stop was requested and every request has its answer. */
+    [[nodiscard]] bool isDrained() const noexcept
+    {
+        return m_stopping && m_pending.empty();
+    }
+
 private:
+    using Actions = std::vector<EntryAction>;
+
+    enum class Kind : std::uint8_t {
+        Submit,
+        LookUp,
+        Cancel,
+    };
+
     struct PendingRequest
     {
+        Kind kind = Kind::Submit;
         ShardKey shard;
         JobId job;
-        std::optional<JobRequest> content; /**< Of a submission; kept so that it can be sent to a new home. */
-        bool cancel = false;
+        std::optional<JobRequest> content; /**< Of a submission; kept so that it can be sent again. */
+        std::size_t bytes = 0;
         Instant deadline;
+        Instant giveUpAt;
+        Instant wakeAt;
+        Duration repeatDelay{ 0 };
+        Duration redirectDelay{ 0 };
+        std::optional<Epoch> sentEpoch; /**< Highest epoch that it was sent to, if it was sent. */
+        NodeId sentTo;
     };
 
-    void submit(const CallerSubmitted &event, Instant now, std::vector<EntryAction> &actions);
-    void send(std::uint64_t request, const PendingRequest &pending, Instant now, std::vector<EntryAction> &actions);
-    void receive(const DispatchMessage &message, std::vector<EntryAction> &actions);
-    void changeView(const ShardView &view, Instant now, std::vector<EntryAction> &actions);
+    void submit(const CallerSubmitted &event, Instant now, Actions &actions);
+    void ask(Kind kind, std::uint64_t request, const std::string &service, const JobId &job, Instant now, Actions &actions);
+    void open(std::uint64_t request, PendingRequest pending, Instant now, Actions &actions);
+    void send(std::uint64_t request, PendingRequest &pending, Instant now, Actions &actions);
+    void receive(const DispatchMessage &message, Instant now, Actions &actions);
+    void finish(const AnswerRequest &message, Actions &actions);
+    void redirect(const RedirectRequest &message, Instant now, Actions &actions);
+    void changeView(const ShardView &view, Instant now, Actions &actions);
+    void loseConnection(NodeId peer, Instant now);
+    void elapse(Instant now, Actions &actions);
+    void giveUp(std::uint64_t request, Actions &actions);
+    void setWake(std::uint64_t request, PendingRequest &pending, Instant at);
+    void erase(std::uint64_t request);
+    Duration jittered(Duration delay);
 
     NodeId m_self;
     Incarnation m_incarnation;
+    std::mt19937_64 m_random;
     bool m_stopping = false;
+    std::size_t m_bytes = 0;
     std::map<std::string, ServiceRules> m_rules;
     std::map<ShardKey, ShardView> m_views;
     std::unordered_map<std::uint64_t, PendingRequest> m_pending;
+    std::set<std::pair<Instant, std::uint64_t>> m_wakes;
 };
 
 } // namespace lagoonroute
--- a/include/lagoonroute/dispatch/homecore.h
+++ b/include/lagoonroute/dispatch/homecore.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <lagoonroute/dispatch/events.h>
-#include <lagoonroute/placement/scheduler.h>
+#include <lagoonroute/dispatch/mirrorcore.h>
 
+#include <memory>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace lagoonroute
@@ -12,62 +12,63 @@
 
 /**
  * Decides for one shard at its home: records jobs, places their tasks, gathers every result and answers.
+ *
+ * With a mirror, no task starts before the mirror acknowledged the job and the assignment under the same epoch. Without
+ * one, tasks start only while StartsAllowed says so.
  */
 class HomeCore
 {
 public:
-    /** Creates the home core of a shard under the given rules; `seed` feeds the scheduler. */
-    HomeCore(NodeId self, ShardView view, ServiceRules rules, std::uint64_t seed);
+    /** How much the home keeps. Beyond it, new jobs are refused; nothing is dropped within its retention window. */
+    struct Limits
+    {
+        std::size_t records = 500'000; /**< Jobs recorded, answered ones included. */
+        std::size_t bytes = 64U << 20U; /**< Bodies of requests and answers. */
+
+        Limits &withRecords(std::size_t count);
+        Limits &withBytes(std::size_t count);
+    };
+
+    /** Creates the home core of a shard without records; `seed` feeds the scheduler. */
+    HomeCore(NodeId self, const ShardView &view, ServiceRules rules, std::uint64_t seed);
+
+    /** Creates it with the records that an earlier home left. Events about workers follow before recover(). */
+    HomeCore(NodeId self, const ShardView &view, ServiceRules rules, std::uint64_t seed, ShardRecords &&records, Instant now);
+
+    ~HomeCore();
+    HomeCore(const HomeCore &) = delete;
+    HomeCore &operator=(const HomeCore &) = delete;
+
+    /** Sets how much is kept from now on. */
+    void setLimits(const Limits &limits);
+
+    /** Asks the workers named in the records what became of their tasks, under this home's epoch. */
+    void recover(Instant now, std::vector<AgentAction> &actions);
 
     /** Handles one event and appends the actions it calls for. */
     void handle(const AgentEvent &event, Instant now, std::vector<AgentAction> &actions);
 
+    /** Ends this home because another view is in force: sends everyone who waits to the new one. */
+    void stepDown(const std::optional<ShardView> &view, std::vector<AgentAction> &actions);
+
     /** Returns when handle(TimeElapsed) is due next, or nothing. */
     [[nodiscard]] std::optional<Instant> nextWake() const;
 
+    /** View under which the home decides. */
+    [[nodiscard]] const ShardView &view() const noexcept;
+
     /** Number of jobs that are recorded, answered ones included. */
-    [[nodiscard]] std::size_t jobCount() const noexcept
-    {
-        return m_jobs.size();
-    }
+    [[nodiscard]] std::size_t jobCount() const noexcept;
 
-private:
-    struct TaskRecord
-    {
-        NodeId worker;
-        bool started = false;
-        bool settled = false;
-        Reason failure = Reason::None;
-        TaskResult result;
-    };
+    /** Number of jobs whose answer is not recorded yet. */
+    [[nodiscard]] std::size_t unansweredJobCount() const noexcept;
 
-    struct JobRecord
-    {
-        JobRequest content;
-        Instant deadline;
-        std::vector<TaskRecord> tasks;
-        std::vector<RequestId> waiting;
-        std::optional<JobAnswer> answer;
-        std::size_t unsettled = 0;
-    };
+    /** Whether the mirror has a complete copy of the records; false without a mirror. */
+    [[nodiscard]] bool isMirrorSynchronised() const noexcept;
 
-    using Actions = std::vector<AgentAction>;
-
-    void receive(NodeId from, const DispatchMessage &message, Instant now, Actions &actions);
-    void submit(const SubmitJob &message, Instant now, Actions &actions);
-    void refuseTask(NodeId worker, const TaskRefused &message, Instant now);
-    void finishTask(NodeId worker, const TaskFinished &message, Instant now, Actions &actions);
-    void placeWaiting(Instant now, Actions &actions);
-    void expire(Instant now, Actions &actions);
-    void settle(const JobId &id, JobRecord &job, Actions &actions);
-    void answer(const JobId &id, JobRecord &job, JobAnswer answer, Actions &actions);
-    [[nodiscard]] TaskDemand demandOf(const JobId &id, const JobRecord &job, TaskIndex index) const;
-
-    NodeId m_self;
-    ShardView m_view;
-    ServiceRules m_rules;
-    Scheduler m_scheduler;
-    std::unordered_map<JobId, JobRecord> m_jobs;
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
 };
 
 } // namespace lagoonroute
--- a/modules/app/agentnode.cpp
+++ b/modules/app/agentnode.cpp
@@ -86,6 +86,8 @@
         }
         for (const ShardView &view : settings.views) {
             m_thread.inject(ViewChanged{ view });
+            // Views of the settings never change, so no other home can replace this one.
+            m_thread.inject(StartsAllowed{ view.key });
         }
         m_thread.start();
     }
--- a/modules/dispatch/agentcore.cpp
+++ b/modules/dispatch/agentcore.cpp
@@ -1,6 +1,8 @@
 #include <lagoonroute/dispatch/agentcore.h>
 
+#include <algorithm>
 #include <deque>
+#include <type_traits>
 #include <utility>
 
 namespace lagoonroute
@@ -9,27 +11,23 @@
 namespace
 {
 
-/** Returns the shard that a message is about, or nothing for messages to the executor or an entry. */
-const ShardKey *homeShardOf(const DispatchMessage &message)
-{
-    if (const auto *submit = std::get_if<SubmitJob>(&message)) {
-        return &submit->shard;
-    }
-    if (const auto *finished = std::get_if<TaskFinished>(&message)) {
-        return &finished->shard;
-    }
-    if (const auto *refused = std::get_if<TaskRefused>(&message)) {
-        return &refused->shard;
-    }
-    return nullptr;
-}
+/** Whether a message is the answer of a mirror or an executor to a shard's home. */
+template <typename Message>
+constexpr bool isForHome
+    = std::is_same_v<
+          Message,
+          MirrorUpdated> || std::is_same_v<Message, TaskRefused> || std::is_same_v<Message, TaskFinished> || std::is_same_v<Message, TasksWithdrawn> || std::is_same_v<Message, TasksRecovered>;
+
+/** Whether a message is a caller's request to a shard's home. */
+template <typename Message>
+constexpr bool isRequest = std::is_same_v<Message, SubmitJob> || std::is_same_v<Message, LookUpJob> || std::is_same_v<Message, CancelJob>;
 
 } // namespace
 
-AgentCore::AgentCore(NodeId self, std::uint64_t seed)
+AgentCore::AgentCore(NodeId self, std::uint64_t seed, Incarnation incarnation)
     : m_self(self)
     , m_seed(seed)
-    , m_executor(self)
+    , m_executor(self, incarnation)
 {
 }
 
@@ -66,28 +64,59 @@
     return earliest;
 }
 
+std::vector<ShardKey> AgentCore::homesHeld() const
+{
+    std::vector<ShardKey> keys;
+    keys.reserve(m_homes.size());
+    for (const auto &[key, home] : m_homes) {
+        keys.push_back(key);
+    }
+    return keys;
+}
+
+const HomeCore *AgentCore::home(const ShardKey &shard) const
+{
+    const auto found = m_homes.find(shard);
+    return found == m_homes.end() ? nullptr : found->second.get();
+}
+
+bool AgentCore::isMirrorSynchronised(const ShardKey &shard) const
+{
+    if (const HomeCore *held = home(shard)) {
+        return held->isMirrorSynchronised();
+    }
+    const auto mirror = m_mirrors.find(shard);
+    return mirror != m_mirrors.end() && mirror->second.isComplete();
+}
+
+bool AgentCore::isDrained() const
+{
+    return m_executor.isDrained() && std::all_of(m_homes.begin(), m_homes.end(), [](const auto &entry) { return entry.second->unansweredJobCount() == 0; });
+}
+
 void AgentCore::route(const AgentEvent &event, Instant now, Actions &actions)
 {
     if (const auto *received = std::get_if<MessageReceived>(&event)) {
         routeMessage(*received, now, actions);
     } else if (const auto *view = std::get_if<ViewChanged>(&event)) {
         changeView(view->view, now, actions);
-    } else if (const auto *worker = std::get_if<WorkerChanged>(&event)) {
-        changeWorker(*worker, now, actions);
-    } else if (const auto *rules = std::get_if<RulesChanged>(&event)) {
-        m_rules.insert_or_assign(rules->rules.name(), rules->rules);
-        for (const auto &[key, home] : m_homes) {
-            if (key.service == rules->rules.name()) {
-                home->handle(event, now, actions);
-            }
+    } else if (const auto *proposed = std::get_if<ViewProposed>(&event)) {
+        propose(proposed->view);
+    } else if (const auto *allowed = std::get_if<StartsAllowed>(&event)) {
+        m_startsAllowed.insert_or_assign(allowed->shard, *allowed);
+        const auto held = m_homes.find(allowed->shard);
+        if (held != m_homes.end()) {
+            held->second->handle(event, now, actions);
         }
+    } else if (const auto *worker = std::get_if<WorkerChanged>(&event)) {
+        m_workers[worker->service].insert_or_assign(worker->worker.node, worker->worker);
+        toHomes(worker->service, event, now, actions);
     } else if (const auto *gone = std::get_if<WorkerGone>(&event)) {
         m_workers[gone->service].erase(gone->node);
-        for (const auto &[key, home] : m_homes) {
-            if (key.service == gone->service) {
-                home->handle(event, now, actions);
-            }
-        }
+        m_goneWorkers[gone->service][gone->node] = gone->incarnation;
+        toHomes(gone->service, event, now, actions);
+    } else if (const auto *rules = std::get_if<RulesChanged>(&event)) {
+        changeRules(*rules, now, actions);
     } else {
         broadcast(event, now, actions);
     }
@@ -95,14 +124,66 @@
 
 void AgentCore::routeMessage(const MessageReceived &event, Instant now, Actions &actions)
 {
-    const ShardKey *shard = homeShardOf(event.message);
-    if (shard == nullptr) {
-        m_executor.handle(event, now, actions);
+    std::visit(
+        [&](const auto &message) {
+            using Message = std::decay_t<decltype(message)>;
+            if constexpr (isRequest<Message>) {
+                routeRequest(event, message.shard, message.epoch, message.request, now, actions);
+            } else if constexpr (isForHome<Message>) {
+                const auto held = m_homes.find(message.shard);
+                if (held != m_homes.end()) {
+                    held->second->handle(event, now, actions);
+                }
+            } else if constexpr (std::is_same_v<Message, UpdateMirror>) {
+                updateMirror(event.from, message, now, actions);
+            } else {
+                m_executor.handle(event, now, actions);
+            }
+        },
+        event.message);
+}
+
+void AgentCore::routeRequest(const MessageReceived &event, const ShardKey &shard, Epoch epoch, const RequestId &request, Instant now, Actions &actions)
+{
+    const auto held = m_homes.find(shard);
+    if (held == m_homes.end()) {
+        const auto view = m_views.find(shard);
+        const auto known = view == m_views.end() ? std::nullopt : std::optional(view->second);
+        actions.emplace_back(SendMessage{ event.from, RedirectRequest{ request, shard, known } });
         return;
     }
-    const auto home = m_homes.find(*shard);
-    if (home != m_homes.end()) {
-        home->second->handle(event, now, actions);
+    if (epoch > held->second->view().epoch) {
+        actions.emplace_back(SendMessage{ event.from, RedirectRequest{ request, shard, std::nullopt } });
+        return;
+    }
+    held->second->handle(event, now, actions);
+}
+
+void AgentCore::updateMirror(NodeId from, const UpdateMirror &message, Instant now, Actions &actions)
+{
+    const auto view = m_views.find(message.shard);
+    const Epoch knownEpoch = view == m_views.end() ? 0 : view->second.epoch;
+    const auto held = m_homes.find(message.shard);
+    const bool isOwnEpoch = held != m_homes.end() && held->second->view().epoch >= message.epoch;
+    const bool isOtherMirror = knownEpoch == message.epoch && view->second.mirror != m_self;
+    if (message.epoch < knownEpoch || isOwnEpoch || isOtherMirror) {
+        actions.emplace_back(SendMessage{ from, MirrorUpdated{ message.shard, message.epoch, 0, false } });
+        return;
+    }
+    // A view that this agent has not heard of yet makes another agent the home.
+    closeHome(message.shard, std::nullopt, actions);
+    MirrorCore &mirror = m_mirrors.try_emplace(message.shard, message.shard).first->second;
+    mirror.propose(m_proposals[message.shard]);
+    mirror.update(from, message, now, actions);
+}
+
+void AgentCore::propose(const ShardView &view)
+{
+    Epoch &proposal = m_proposals[view.key];
+    proposal = std::max(proposal, view.epoch);
+    const auto mirror = m_mirrors.find(view.key);
+    if (mirror != m_mirrors.end()) {
+        mirror->second.propose(view.epoch);
     }
 }
 
@@ -113,22 +194,96 @@
         return;
     }
     known = view;
-    m_homes.erase(view.key);
+    m_startsAllowed.erase(view.key);
+    m_executor.handle(ViewChanged{ view }, now, actions);
+    if (view.home == m_self) {
+        openHome(view, now, actions);
+        return;
+    }
+    closeHome(view.key, view, actions);
+    if (view.mirror == m_self) {
+        m_mirrors.try_emplace(view.key, view.key).first->second.follow(view);
+    } else {
+        m_mirrors.erase(view.key);
+    }
+}
+
+void AgentCore::openHome(const ShardView &view, Instant now, Actions &actions)
+{
+    const auto held = m_homes.find(view.key);
+    if (held != m_homes.end() && view.recordsKept) {
+        held->second->handle(ViewChanged{ view }, now, actions);
+        return;
+    }
     const auto rules = m_rules.find(view.key.service);
-    if (view.home != m_self || rules == m_rules.end()) {
+    if (rules == m_rules.end()) {
         return;
     }
-    const auto &home = m_homes.emplace(view.key, std::make_unique<HomeCore>(m_self, view, rules->second, m_seed)).first->second;
+    closeHome(view.key, view, actions);
+    auto opened = std::make_unique<HomeCore>(m_self, view, rules->second, m_seed, takeRecords(view, now), now);
+    HomeCore &home = *opened;
+    m_homes.insert_or_assign(view.key, std::move(opened));
+    if (m_wallOffset) {
+        const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch() + *m_wallOffset);
+        home.handle(WallClockRead{ WallTime(time) }, now, actions);
+    }
     for (const auto &[node, worker] : m_workers[view.key.service]) {
-        home->handle(WorkerChanged{ view.key.service, worker }, now, actions);
+        home.handle(WorkerChanged{ view.key.service, worker }, now, actions);
+    }
+    for (const auto &[node, incarnation] : m_goneWorkers[view.key.service]) {
+        home.handle(WorkerGone{ view.key.service, node, incarnation }, now, actions);
+    }
+    if (m_stopping) {
+        home.handle(StopRequested{}, now, actions);
     }
+    const auto allowed = m_startsAllowed.find(view.key);
+    if (allowed != m_startsAllowed.end()) {
+        home.handle(allowed->second, now, actions);
+    }
+    home.recover(now, actions);
+}
+
+ShardRecords AgentCore::takeRecords(const ShardView &view, Instant now)
+{
+    const auto mirror = m_mirrors.find(view.key);
+    const bool hasRecords = view.recordsKept && mirror != m_mirrors.end() && mirror->second.mayBePromoted(view.epoch);
+    ShardRecords records;
+    if (hasRecords) {
+        records = mirror->second.takeRecords();
+    } else if (view.epoch > 1 || !view.recordsKept) {
+        records.lostAt = now;
+    }
+    m_mirrors.erase(view.key);
+    return records;
 }
 
-void AgentCore::changeWorker(const WorkerChanged &event, Instant now, Actions &actions)
+void AgentCore::closeHome(const ShardKey &shard, const std::optional<ShardView> &view, Actions &actions)
+{
+    const auto held = m_homes.find(shard);
+    if (held == m_homes.end()) {
+        return;
+    }
+    held->second->stepDown(view, actions);
+    m_homes.erase(held);
+}
+
+void AgentCore::changeRules(const RulesChanged &event, Instant now, Actions &actions)
+{
+    const std::string &service = event.rules.name();
+    m_rules.insert_or_assign(service, event.rules);
+    m_executor.handle(event, now, actions);
+    toHomes(service, event, now, actions);
+    for (const auto &[key, view] : m_views) {
+        if (key.service == service && view.home == m_self && m_homes.count(key) == 0) {
+            openHome(view, now, actions);
+        }
+    }
+}
+
+void AgentCore::toHomes(const std::string &service, const AgentEvent &event, Instant now, Actions &actions)
 {
-    m_workers[event.service].insert_or_assign(event.worker.node, event.worker);
     for (const auto &[key, home] : m_homes) {
-        if (key.service == event.service) {
+        if (key.service == service) {
             home->handle(event, now, actions);
         }
     }
@@ -136,6 +291,11 @@
 
 void AgentCore::broadcast(const AgentEvent &event, Instant now, Actions &actions)
 {
+    m_stopping = m_stopping || std::holds_alternative<StopRequested>(event);
+    if (const auto *clock = std::get_if<WallClockRead>(&event)) {
+        const Duration offset = std::chrono::duration_cast<Duration>(clock->time.time_since_epoch()) - now.time_since_epoch();
+        m_wallOffset = m_wallOffset ? std::max(*m_wallOffset, offset) : offset;
+    }
     m_executor.handle(event, now, actions);
     for (const auto &[key, home] : m_homes) {
         home->handle(event, now, actions);
--- a/modules/dispatch/homecore.cpp
+++ b/modules/dispatch/homecore.cpp
@@ -1,193 +1,230 @@
-#include <lagoonroute/dispatch/homecore.h>
+#include "homeimplementation.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lagoonroute
 {
 
-HomeCore::HomeCore(NodeId self, ShardView view, ServiceRules rules, std::uint64_t seed)
-    : m_self(self)
-    , m_view(std::move(view))
+namespace
+{
+
+/** A gap between events after which the mirror is asked whether this home still decides. */
+constexpr Duration pauseLimit = std::chrono::seconds(1);
+
+void takeEarlier(std::optional<Instant> &earliest, std::optional<Instant> candidate)
+{
+    if (candidate && (!earliest || *candidate < *earliest)) {
+        earliest = candidate;
+    }
+}
+
+} // namespace
+
+HomeCore::Limits &HomeCore::Limits::withRecords(std::size_t count)
+{
+    records = count;
+    return *this;
+}
+
+HomeCore::Limits &HomeCore::Limits::withBytes(std::size_t count)
+{
+    bytes = count;
+    return *this;
+}
+
+HomeCore::HomeCore(NodeId self, const ShardView &view, ServiceRules rules, std::uint64_t seed)
+    : HomeCore(self, view, std::move(rules), seed, ShardRecords{}, Instant{})
+{
+}
+
+HomeCore::HomeCore(NodeId self, const ShardView &view, ServiceRules rules, std::uint64_t seed, ShardRecords &&records, Instant now)
+    : m_implementation(std::make_unique<Implementation>(self, view, std::move(rules), seed, now))
+{
+    m_implementation->load(records, now);
+    m_implementation->changeView(view, now);
+}
+
+HomeCore::~HomeCore() = default;
+
+void HomeCore::setLimits(const Limits &limits)
+{
+    m_implementation->limits = limits;
+}
+
+void HomeCore::recover(Instant now, std::vector<AgentAction> &actions)
+{
+    m_implementation->recover(now, actions);
+}
+
+void HomeCore::handle(const AgentEvent &event, Instant now, std::vector<AgentAction> &actions)
+{
+    m_implementation->handle(event, now, actions);
+}
+
+void HomeCore::stepDown(const std::optional<ShardView> &view, std::vector<AgentAction> &actions)
+{
+    m_implementation->stepDown(view, actions);
+}
+
+std::optional<Instant> HomeCore::nextWake() const
+{
+    return m_implementation->nextWake();
+}
+
+const ShardView &HomeCore::view() const noexcept
+{
+    return m_implementation->view;
+}
+
+std::size_t HomeCore::jobCount() const noexcept
+{
+    return m_implementation->jobs.size();
+}
+
+std::size_t HomeCore::unansweredJobCount() const noexcept
+{
+    return m_implementation->unanswered;
+}
+
+bool HomeCore::isMirrorSynchronised() const noexcept
+{
+    return m_implementation->link.isSynchronised();
+}
+
+HomeCore::Implementation::Implementation(NodeId self, ShardView initialView, ServiceRules rules, std::uint64_t seed, Instant now)
+    : view(std::move(initialView))
+    , m_self(self)
     , m_rules(rules)
     , m_scheduler(std::move(rules), seed)
+    , m_lastEvent(now)
 {
 }
 
-void HomeCore::handle(const AgentEvent &event, Instant now, Actions &actions)
+void HomeCore::Implementation::handle(const AgentEvent &event, Instant now, Actions &actions)
+{
+    noticePause(now);
+    elapse(now);
+    dispatch(event, now, actions);
+    finishEvent(now, actions);
+}
+
+void HomeCore::Implementation::dispatch(const AgentEvent &event, Instant now, Actions &actions)
 {
     if (const auto *received = std::get_if<MessageReceived>(&event)) {
         receive(received->from, received->message, now, actions);
     } else if (const auto *changed = std::get_if<WorkerChanged>(&event)) {
-        m_scheduler.updateWorker(changed->worker);
+        changeWorker(changed->worker, now);
     } else if (const auto *gone = std::get_if<WorkerGone>(&event)) {
-        m_scheduler.removeWorker(gone->node);
+        loseWorker(gone->node, gone->incarnation, now);
     } else if (const auto *rules = std::get_if<RulesChanged>(&event)) {
         m_rules = rules->rules;
         m_scheduler.setRules(rules->rules);
+    } else if (const auto *allowed = std::get_if<StartsAllowed>(&event)) {
+        m_startsAllowed = *allowed;
+    } else if (const auto *changedView = std::get_if<ViewChanged>(&event)) {
+        changeView(changedView->view, now);
+    } else if (const auto *lost = std::get_if<ConnectionLost>(&event)) {
+        if (lost->peer == link.mirror()) {
+            link.repeat();
+        }
+        repeatToWorker(lost->peer, true, now, actions);
+    } else if (const auto *clock = std::get_if<WallClockRead>(&event)) {
+        const Duration offset = std::chrono::duration_cast<Duration>(clock->time.time_since_epoch()) - now.time_since_epoch();
+        m_wallOffset = m_wallOffset ? std::max(*m_wallOffset, offset) : offset;
+    } else if (std::holds_alternative<StopRequested>(event)) {
+        m_stopping = true;
+    }
+    if (m_askAgainAt && *m_askAgainAt <= now) {
+        askAgain(now, actions);
     }
-    expire(now, actions);
-    placeWaiting(now, actions);
-}
-
-std::optional<Instant> HomeCore::nextWake() const
-{
-    return m_scheduler.nextWake();
 }
 
-void HomeCore::receive(NodeId from, const DispatchMessage &message, Instant now, Actions &actions)
+void HomeCore::Implementation::receive(NodeId from, const DispatchMessage &message, Instant now, Actions &actions)
 {
     if (const auto *submitted = std::get_if<SubmitJob>(&message)) {
         submit(*submitted, now, actions);
+    } else if (const auto *lookedUp = std::get_if<LookUpJob>(&message)) {
+        lookUp(*lookedUp, now, actions);
+    } else if (const auto *cancelled = std::get_if<CancelJob>(&message)) {
+        cancel(*cancelled, now, actions);
+    } else if (const auto *updated = std::get_if<MirrorUpdated>(&message)) {
+        link.receive(*updated, now);
     } else if (const auto *finished = std::get_if<TaskFinished>(&message)) {
-        finishTask(from, *finished, now, actions);
+        finishTask(from, *finished, now);
     } else if (const auto *refused = std::get_if<TaskRefused>(&message)) {
         refuseTask(from, *refused, now);
+    } else if (const auto *taken = std::get_if<TasksWithdrawn>(&message)) {
+        withdrawn(from, *taken, now);
+    } else if (const auto *answered = std::get_if<TasksRecovered>(&message)) {
+        recovered(from, *answered, now);
     }
 }
 
-void HomeCore::submit(const SubmitJob &message, Instant now, Actions &actions)
-{
-    const auto reply = [&](const JobAnswer &answer) {
-        actions.emplace_back(SendMessage{ message.request.entry, AnswerRequest{ message.request, message.job, answer } });
-    };
-    const auto found = m_jobs.find(message.job);
-    if (found != m_jobs.end()) {
-        JobRecord &job = found->second;
-        if (job.content.bodyDigest != message.content.bodyDigest) {
-            reply(JobAnswer::notRun(Reason::KeyReused, "the submission key was used before with another body"));
-        } else if (job.answer) {
-            reply(*job.answer);
-        } else {
-            job.waiting.push_back(message.request);
-        }
-        return;
-    }
-
-    JobRecord job{ .content = message.content, .deadline = now + message.content.timeRemaining };
-    job.tasks.resize(message.content.tasks.size());
-    job.unsettled = job.tasks.size();
-    job.waiting.push_back(message.request);
-    std::vector<TaskDemand> demands;
-    for (TaskIndex index = 0; index < job.tasks.size(); ++index) {
-        demands.push_back(demandOf(message.job, job, index));
-    }
-    if (const auto refusal = m_scheduler.admit(demands, now)) {
-        reply(JobAnswer::notRun(refusal->reason, refusal->detail, refusal->retryAfter));
-        return;
-    }
-    m_jobs.emplace(message.job, std::move(job));
-    for (TaskDemand &demand : demands) {
-        m_scheduler.enqueue(std::move(demand), now);
-    }
-}
-
-void HomeCore::refuseTask(NodeId worker, const TaskRefused &message, Instant now)
+void HomeCore::Implementation::noticePause(Instant now)
 {
-    const auto found = m_jobs.find(message.task.job);
-    if (found == m_jobs.end() || message.task.index >= found->second.tasks.size()) {
-        return;
-    }
-    TaskRecord &task = found->second.tasks[message.task.index];
-    if (task.settled || task.worker != worker) {
-        return;
+    const bool wasPaused = now - m_lastEvent > pauseLimit;
+    m_lastEvent = now;
+    if (wasPaused) {
+        m_probe = link.append(MirrorProbe{});
     }
-    task.worker = NodeId{};
-    m_scheduler.attemptEnded(message.task, worker, AttemptResult::RefusedNotStarted, Duration{ 0 }, now);
-    m_scheduler.enqueue(demandOf(message.task.job, found->second, message.task.index), now);
 }
 
-void HomeCore::finishTask(NodeId worker, const TaskFinished &message, Instant now, Actions &actions)
+void HomeCore::Implementation::elapse(Instant now)
 {
-    actions.emplace_back(SendMessage{ worker, AcknowledgeResults{ m_view.key, { message.task } } });
-    const auto found = m_jobs.find(message.task.job);
-    if (found == m_jobs.end() || message.task.index >= found->second.tasks.size()) {
-        return;
-    }
-    JobRecord &job = found->second;
-    TaskRecord &task = job.tasks[message.task.index];
-    if (task.settled || task.worker != worker) {
-        return;
-    }
-    const bool succeeded = message.failure == Reason::None;
-    m_scheduler.attemptEnded(message.task, worker, succeeded ? AttemptResult::Succeeded : AttemptResult::FailedAtWorker, message.runTime, now);
-    task.settled = true;
-    task.started = true;
-    task.failure = message.failure;
-    task.result = message.result;
-    --job.unsettled;
-    settle(found->first, job, actions);
-}
-
-void HomeCore::placeWaiting(Instant now, Actions &actions)
-{
-    while (const auto placement = m_scheduler.nextPlacement(now)) {
-        JobRecord &job = m_jobs.at(placement->task.job);
-        job.tasks[placement->task.index].worker = placement->worker;
-        const Duration remaining = job.deadline - now;
-        actions.emplace_back(SendMessage{ placement->worker,
-                                          StartTask{ .shard = m_view.key,
-                                                     .epoch = m_view.epoch,
-                                                     .task = placement->task,
-                                                     .startWithin = remaining,
-                                                     .timeout = remaining,
-                                                     .path = m_rules.upstreamPath(),
-                                                     .body = job.content.tasks[placement->task.index].body,
-                                                     .need = job.content.tasks[placement->task.index].need } });
-    }
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const JobId id = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        JobRecord &record = jobs.at(id);
+        withdrawRest(id, *record.active, Reason::DeadlineTooShort, true, now);
+        settle(id, record);
+    }
+    forget(now);
+    m_refusals.expire(now);
+    resumeWorkers(now);
 }
 
-void HomeCore::expire(Instant now, Actions &actions)
+void HomeCore::Implementation::finishEvent(Instant now, Actions &actions)
 {
-    for (const TaskId &id : m_scheduler.takeExpired(now)) {
-        JobRecord &job = m_jobs.at(id.job);
-        TaskRecord &task = job.tasks[id.index];
-        task.settled = true;
-        task.failure = Reason::DeadlineTooShort;
-        --job.unsettled;
-        settle(id.job, job, actions);
-    }
+    for (const TaskId &expired : m_scheduler.takeExpired(now)) {
+        JobRecord &record = jobs.at(expired.job);
+        withdrawRest(expired.job, *record.active, Reason::DeadlineTooShort, false, now);
+        settle(expired.job, record);
+    }
+    continueTransfer(now);
+    place(now);
+    link.send(now, actions);
+    releaseStarts(now, actions);
+    releaseAnswers(now, actions);
+    m_messages.send(view, now, actions);
 }
 
-void HomeCore::settle(const JobId &id, JobRecord &job, Actions &actions)
+bool HomeCore::Implementation::maySubmit(Instant now) const
 {
-    if (job.unsettled > 0 || job.answer) {
-        return;
-    }
-    JobAnswer result{ .outcome = Outcome::Complete };
-    for (TaskIndex index = 0; index < job.tasks.size(); ++index) {
-        const TaskRecord &task = job.tasks[index];
-        if (task.failure != Reason::None && result.reason == Reason::None) {
-            result.reason = task.failure;
-        }
-        if (task.started) {
-            result.started.push_back(index);
-        }
-        result.results.push_back(task.result);
-    }
-    if (result.reason != Reason::None) {
-        result.outcome = result.started.empty() ? Outcome::NotRun : Outcome::Failed;
-        result.results.clear();
-    } else {
-        result.started.clear();
-    }
-    answer(id, job, std::move(result), actions);
+    return link.hasMirror() || mayStart(now);
 }
 
-void HomeCore::answer(const JobId &id, JobRecord &job, JobAnswer answer, Actions &actions)
+bool HomeCore::Implementation::mayStart(Instant now) const
 {
-    for (const RequestId &request : job.waiting) {
-        actions.emplace_back(SendMessage{ request.entry, AnswerRequest{ request, id, answer } });
+    if (link.hasMirror()) {
+        return link.isAcknowledged(m_probe);
     }
-    job.waiting.clear();
-    job.answer = std::move(answer);
+    return m_startsAllowed && m_startsAllowed->allowed && (!m_startsAllowed->until || now < *m_startsAllowed->until);
 }
 
-TaskDemand HomeCore::demandOf(const JobId &id, const JobRecord &job, TaskIndex index) const
+std::optional<Instant> HomeCore::Implementation::nextWake() const
 {
-    const TaskSpec &spec = job.content.tasks[index];
-    return TaskDemand{
-        .task = { id, index }, .caller = job.content.caller, .need = spec.need, .declaredRunTime = spec.declaredRunTime, .startBy = job.deadline
-    };
+    std::optional<Instant> earliest = m_scheduler.nextWake();
+    takeEarlier(earliest, link.nextWake());
+    takeEarlier(earliest, m_messages.nextWake());
+    takeEarlier(earliest, m_askAgainAt);
+    if (!m_deadlines.empty()) {
+        takeEarlier(earliest, m_deadlines.begin()->first);
+    }
+    for (const auto &[worker, until] : m_suspended) {
+        takeEarlier(earliest, until);
+    }
+    return earliest;
 }
 
 } // namespace lagoonroute
--- /dev/null
+++ b/modules/dispatch/mirrorlink.cpp
@@ -0,0 +1,131 @@
+#include "mirrorlink.h"
+
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+constexpr std::size_t maxUpdatesOnTheWay = 4;
+constexpr std::size_t maxRecordsPerUpdate = 256;
+constexpr std::size_t maxBytesPerUpdate = 256 * 1024;
+constexpr std::size_t maxTransferRecordsUnacknowledged = 1024;
+constexpr Duration repeatInterval = std::chrono::milliseconds(250);
+
+std::size_t bytesOf(const MirrorRecord &record)
+{
+    std::size_t bytes = 0;
+    if (const auto *job = std::get_if<JobRecorded>(&record)) {
+        for (const TaskSpec &task : job->content.tasks) {
+            bytes += task.body.size();
+        }
+    } else if (const auto *answer = std::get_if<AnswerRecorded>(&record)) {
+        for (const TaskResult &result : answer->answer.results) {
+            bytes += result.body.size();
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+void MirrorLink::open(const ShardView &view, Instant now)
+{
+    *this = MirrorLink();
+    m_shard = view.key;
+    m_epoch = view.epoch;
+    m_mirror = view.mirror;
+    m_lastProgress = now;
+}
+
+std::uint64_t MirrorLink::append(MirrorRecord record)
+{
+    if (!hasMirror()) {
+        return 0;
+    }
+    m_unacknowledged.push_back(std::move(record));
+    return m_acknowledged + m_unacknowledged.size();
+}
+
+void MirrorLink::endTransfer()
+{
+    // The probe makes the end of the transfer a record of its own, also of a transfer without records.
+    m_transferEnd = append(MirrorProbe{});
+}
+
+void MirrorLink::send(Instant now, std::vector<AgentAction> &actions)
+{
+    if (!hasMirror() || m_refused) {
+        return;
+    }
+    const bool isLate = m_sent > m_acknowledged && now - m_lastProgress >= repeatInterval;
+    if (isLate) {
+        repeat();
+    }
+    const std::uint64_t end = m_acknowledged + m_unacknowledged.size();
+    while (m_sent < end && m_updatesOnTheWay.size() < maxUpdatesOnTheWay) {
+        if (m_updatesOnTheWay.empty()) {
+            m_lastProgress = now;
+        }
+        actions.emplace_back(SendMessage{ m_mirror, nextBatch() });
+    }
+}
+
+UpdateMirror MirrorLink::nextBatch()
+{
+    UpdateMirror message{ .shard = m_shard, .epoch = m_epoch, .sequence = m_sent };
+    const std::uint64_t end = m_acknowledged + m_unacknowledged.size();
+    std::size_t bytes = 0;
+    while (m_sent < end && message.records.size() < maxRecordsPerUpdate && bytes < maxBytesPerUpdate) {
+        const MirrorRecord &record = m_unacknowledged.at(m_sent - m_acknowledged);
+        bytes += bytesOf(record);
+        message.records.push_back(record);
+        ++m_sent;
+    }
+    message.complete = m_transferEnd && m_sent >= *m_transferEnd;
+    m_updatesOnTheWay.push_back(m_sent);
+    return message;
+}
+
+void MirrorLink::receive(const MirrorUpdated &message, Instant now)
+{
+    if (message.epoch != m_epoch || message.shard != m_shard) {
+        return;
+    }
+    if (!message.accepted) {
+        m_refused = true;
+        return;
+    }
+    while (m_acknowledged < message.nextSequence && !m_unacknowledged.empty()) {
+        m_unacknowledged.pop_front();
+        ++m_acknowledged;
+        m_lastProgress = now;
+    }
+    m_sent = std::max(m_sent, m_acknowledged);
+    while (!m_updatesOnTheWay.empty() && m_updatesOnTheWay.front() <= m_acknowledged) {
+        m_updatesOnTheWay.pop_front();
+    }
+}
+
+void MirrorLink::repeat()
+{
+    m_sent = m_acknowledged;
+    m_updatesOnTheWay.clear();
+}
+
+bool MirrorLink::hasRoom() const noexcept
+{
+    return m_unacknowledged.size() < maxTransferRecordsUnacknowledged;
+}
+
+std::optional<Instant> MirrorLink::nextWake() const
+{
+    if (!hasMirror() || m_refused || m_sent <= m_acknowledged) {
+        return std::nullopt;
+    }
+    return m_lastProgress + repeatInterval;
+}
+
+} // namespace lagoonroute
--- a/modules/dispatch/tests/pathtest.cpp
+++ b/modules/dispatch/tests/pathtest.cpp
@@ -15,6 +15,7 @@
     std::vector<AgentAction> actions;
     core.handle(RulesChanged{ ServiceRules::Builder("booking").build() }, now, actions);
     core.handle(ViewChanged{ ShardView{ { "booking", 0 }, 1, agent, NodeId{} } }, now, actions);
+    core.handle(StartsAllowed{ { "booking", 0 } }, now, actions);
     core.handle(UpstreamAnnounced{ "booking", 8, 64, {} }, now, actions);
     core.handle(WorkerChanged{ "booking", WorkerState{ .node = agent, .slots = 8, .connections = 64 } }, now, actions);
 
