Membership by gossip, the store's port with its client, and UDP gossip transport

Cause: processes knew each other from settings only, and nothing could read or write the platform's store. Change: MembershipCore (SWIM with suspicion, versions for refutation, digests for partitions, pauses excused, flapping held back), GossipTransport over UDP, StorePort with MemoryStore, StoreClientCore (budget, circuit breaker as an MSM machine, timeouts) and MarkedSwap, which resolves lost answers by the writer's mark. ShardView moves to base, and the view events with it, so that membership needs nothing of dispatch.

--- a/include/lagoonroute/base/base.h
+++ b/include/lagoonroute/base/base.h
@@ -7,8 +7,10 @@
  */
 
 #include <lagoonroute/base/boundedring.h>
+#include <lagoonroute/base/commonevents.h>
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/base/identifiers.h>
 #include <lagoonroute/base/outcome.h>
+#include <lagoonroute/base/shardview.h>
 #include <lagoonroute/base/time.h>
 #include <lagoonroute/base/wakesignal.h>
--- /dev/null
+++ b/include/lagoonroute/base/commonevents.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <lagoonroute/base/shardview.h>
+#include <lagoonroute/base/time.h>
+
+#include <compare>
+#include <optional>
+
+namespace lagoonroute
+{
+
+/** The view of a shard is known to have changed. */
+struct ViewChanged
+{
+    ShardView view;
+
+    auto operator<=>(const ViewChanged &) const = default;
+};
+
+/** This process is about to propose a view: from now on, acknowledge no record of a lower epoch of the shard. */
+struct ViewProposed
+{
+    ShardView view;
+
+    auto operator<=>(const ViewProposed &) const = default;
+};
+
+/**
+ * Whether the home of a shard without a mirror may start tasks; it may not while another home could have replaced it
+ * unnoticed. Until the first such event it may not. Homes with a mirror ask their mirror instead.
+ */
+struct StartsAllowed
+{
+    ShardKey shard;
+    bool allowed = true;
+    std::optional<Instant> until; /**< End of the confirmed lease less its margin; nothing means until revoked. */
+
+    auto operator<=>(const StartsAllowed &) const = default;
+};
+
+/** Time has passed; what is due by now is done. */
+struct TimeElapsed
+{
+};
+
+} // namespace lagoonroute
--- a/include/lagoonroute/dispatch/events.h
+++ b/include/lagoonroute/dispatch/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <lagoonroute/base/commonevents.h>
 #include <lagoonroute/configuration/servicerules.h>
 #include <lagoonroute/dispatch/messages.h>
 #include <lagoonroute/placement/workerstate.h>
@@ -24,29 +25,6 @@
     NodeId peer;
 };
 
-/** The view of a shard is known to have changed. */
-struct ViewChanged
-{
-    ShardView view;
-};
-
-/** This process is about to propose a view: from now on, acknowledge no record of a lower epoch of the shard. */
-struct ViewProposed
-{
-    ShardView view;
-};
-
-/**
- * Whether the home of a shard without a mirror may start tasks; it may not while another home could have replaced it
- * unnoticed. Until the first such event it may not. Homes with a mirror ask their mirror instead.
- */
-struct StartsAllowed
-{
-    ShardKey shard;
-    bool allowed = true;
-    std::optional<Instant> until; /**< End of the confirmed lease less its margin; nothing means until revoked. */
-};
-
 /** A worker offers a service, or what is known of it changed. */
 struct WorkerChanged
 {
@@ -68,11 +46,6 @@
     ServiceRules rules;
 };
 
-/** Time has passed; what is due by now is done. */
-struct TimeElapsed
-{
-};
-
 /** The calendar time at this moment. Given at the start and every few minutes; steps backwards are ignored. */
 struct WallClockRead
 {
--- a/include/lagoonroute/membership/member.h
+++ b/include/lagoonroute/membership/member.h
@@ -29,7 +29,7 @@
 /** What others believe about a member. */
 enum class MemberStatus : std::uint8_t {
     Alive,
-    Suspect, /**< Did not answer; may still refute with a higher incarnation. */
+    Suspect, /**< Did not answer; may still refute with a higher version, or is kept back after many failures. */
     Leaving, /**< Stops on purpose and takes no new work. */
     Dead,
 };
@@ -58,6 +58,7 @@
     MemberStatus status = MemberStatus::Alive;
     std::vector<ServiceOffer> offers;
     Revision configurationRevision = 0;
+    std::uint64_t version = 0; /**< Grows with every change of the member's own state within its incarnation. */
 
     auto operator<=>(const Member &) const = default;
 };
--- a/include/lagoonroute/membership/membership.h
+++ b/include/lagoonroute/membership/membership.h
@@ -3,7 +3,8 @@
 /**
  * Module membership: who takes part, who is alive, and which views the shards of a cell have.
  *
- * Depends on base and on the resource types of configuration.
+ * Depends on base, platform and on the resource types of configuration.
  */
 
 #include <lagoonroute/membership/member.h>
+#include <lagoonroute/membership/membershipcore.h>
--- a/include/lagoonroute/platform/storeport.h
+++ b/include/lagoonroute/platform/storeport.h
@@ -4,9 +4,11 @@
 #include <lagoonroute/base/time.h>
 
 #include <compare>
+#include <concepts>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace lagoonroute
@@ -92,6 +94,22 @@
     std::uint64_t number = 0;
     StoreStatus status = StoreStatus::Unknown;
     StoreEntry entry;
+    StorePurpose purpose = StorePurpose::View; /**< As in the call; set by StoreClient. */
+};
+
+/**
+ * Adapter to the platform's store. It is used by one thread, and the answers come later.
+ *
+ * submit() returns false, having sent nothing, when too many calls wait. drain() passes the answers that have come to
+ * a consumer. A call may stay without an answer; StoreClientCore counts the time.
+ */
+template <typename T>
+concept StorePort = requires(T port, StoreCall call)
+{
+    {
+        port.submit(std::move(call))
+        } -> std::convertible_to<bool>;
+    port.drain([](StoreReply &&) {});
 };
 
 } // namespace lagoonroute
--- a/modules/membership/membership.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonroute/membership/membership.h>
--- /dev/null
+++ b/modules/membership/membershipstate.cpp
@@ -0,0 +1,334 @@
+#include "membershipstate.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+constexpr int suspicionIntervals = 3;
+constexpr std::uint32_t toleratedFailures = 3;
+constexpr std::uint32_t maxHoldBackDoublings = 4;
+constexpr Duration firstHoldBack = std::chrono::seconds(5);
+constexpr Duration maxHoldBack = std::chrono::seconds(60);
+constexpr Duration failureMemory = std::chrono::minutes(2);
+
+Member bounded(Member member)
+{
+    while (!member.offers.empty() && encodedSize(member) > maxMemberBytes) {
+        member.offers.pop_back();
+    }
+    return member;
+}
+
+} // namespace
+
+Duration suspicionTimeout(const MembershipCore::Options &options, std::size_t members)
+{
+    const double scale = std::max(1.0, std::log10(static_cast<double>(members + 1)));
+    return std::chrono::duration_cast<Duration>(options.probeInterval * suspicionIntervals * scale);
+}
+
+MembershipState::MembershipState(const MembershipCore::Options &options, std::vector<MembershipAction> &actions)
+    : m_options(options)
+    , m_actions(actions)
+    , m_table(options.maxMembers)
+{
+    Member self = bounded(options.self);
+    self.status = MemberStatus::Alive;
+    self.version = 1;
+    m_table.apply(self);
+    m_queue.addMember(self.id, true);
+}
+
+Duration MembershipState::suspicionTimeout() const
+{
+    return lagoonroute::suspicionTimeout(m_options, m_table.liveCount());
+}
+
+void MembershipState::apply(const Member &news, bool isAnswer, Instant now)
+{
+    if (news.id == m_options.self.id) {
+        refute(noticeOf(news));
+        return;
+    }
+    const MemberEntry *known = m_table.find(news.id);
+    const std::optional<Member> before = known == nullptr ? std::nullopt : std::optional(known->member);
+    MemberEntry *entry = m_table.apply(news);
+    if (entry == nullptr) {
+        return;
+    }
+    if (!isAnswer || before) {
+        m_queue.addMember(news.id, true);
+    }
+    retireOthersAt(news, now);
+    changed(*entry, before, now);
+}
+
+void MembershipState::apply(const MemberNotice &news, Instant now)
+{
+    if (news.id == m_options.self.id) {
+        refute(news);
+        return;
+    }
+    const MemberEntry *known = m_table.find(news.id);
+    if (known == nullptr) {
+        return;
+    }
+    const Member before = known->member;
+    MemberEntry *entry = m_table.apply(news);
+    if (entry == nullptr) {
+        return;
+    }
+    m_queue.addMember(news.id, false);
+    changed(*entry, before, now);
+}
+
+void MembershipState::changed(MemberEntry &entry, const std::optional<Member> &before, Instant now)
+{
+    m_lastNews = now;
+    entry.suspectUntil.reset();
+    if (entry.member.status == MemberStatus::Suspect) {
+        entry.suspectUntil = now + suspicionTimeout();
+    }
+    if (entry.member.status == MemberStatus::Dead) {
+        entry.diedAt = now;
+        countFailure(entry, now);
+    }
+    if (before) {
+        const bool isNewLife = before->incarnation != entry.member.incarnation;
+        if (isNewLife && before->status != MemberStatus::Dead) {
+            m_actions.emplace_back(MemberGone{ *before });
+            countFailure(entry, now);
+        }
+        if (before->status == MemberStatus::Suspect && entry.member.status == MemberStatus::Alive) {
+            countFailure(entry, now);
+        }
+    }
+    report(entry);
+}
+
+void MembershipState::countFailure(MemberEntry &entry, Instant now)
+{
+    if (now - entry.lastFailure > failureMemory) {
+        entry.failures = 0;
+    }
+    entry.lastFailure = now;
+    ++entry.failures;
+    if (entry.failures > toleratedFailures) {
+        const std::uint32_t doublings = std::min(entry.failures - toleratedFailures - 1, maxHoldBackDoublings);
+        entry.heldBackUntil = now + std::min(firstHoldBack * (1U << doublings), maxHoldBack);
+    }
+}
+
+void MembershipState::report(const MemberEntry &entry)
+{
+    if (entry.member.status == MemberStatus::Dead) {
+        m_actions.emplace_back(MemberGone{ entry.member });
+        return;
+    }
+    MemberChanged change{ entry.member };
+    if (entry.heldBackUntil && change.member.status == MemberStatus::Alive) {
+        change.member.status = MemberStatus::Suspect;
+    }
+    m_actions.emplace_back(std::move(change));
+}
+
+void MembershipState::retireOthersAt(const Member &member, Instant now)
+{
+    if (member.status == MemberStatus::Dead) {
+        return;
+    }
+    for (auto &[id, other] : m_table.entries()) {
+        const bool isReplaced = id != member.id && id != m_options.self.id && other.member.address == member.address
+            && other.member.incarnation < member.incarnation && other.member.status != MemberStatus::Dead;
+        if (isReplaced) {
+            MemberNotice death = noticeOf(other.member);
+            death.status = MemberStatus::Dead;
+            apply(death, now);
+        }
+    }
+}
+
+void MembershipState::refute(const MemberNotice &belief)
+{
+    const Member &own = self();
+    if (belief.incarnation > own.incarnation) {
+        m_actions.emplace_back(SelfReplaced{ belief.incarnation });
+        return;
+    }
+    const bool isHarmful = belief.incarnation == own.incarnation && belief.version >= own.version && belief.status != own.status;
+    if (!isHarmful) {
+        return;
+    }
+    ++m_refutations;
+    changeSelf([&belief](Member &member) { member.version = belief.version; });
+}
+
+void MembershipState::changeSelf(const std::function<void(Member &)> &change)
+{
+    Member changed = self();
+    change(changed);
+    ++changed.version;
+    m_table.apply(bounded(std::move(changed)));
+    m_queue.addMember(m_options.self.id, true);
+}
+
+void MembershipState::changeOwnRevision(Revision revision)
+{
+    m_table.find(m_options.self.id)->member.configurationRevision = revision;
+}
+
+void MembershipState::updateRevision(NodeId node, Incarnation incarnation, Revision revision)
+{
+    MemberEntry *entry = m_table.find(node);
+    if (entry == nullptr || entry->member.incarnation != incarnation || entry->member.configurationRevision >= revision) {
+        return;
+    }
+    entry->member.configurationRevision = revision;
+    if (entry->member.status != MemberStatus::Dead) {
+        report(*entry);
+    }
+}
+
+void MembershipState::suspect(NodeId node, Instant now)
+{
+    MemberEntry *entry = m_table.find(node);
+    if (entry == nullptr) {
+        return;
+    }
+    MemberNotice belief = noticeOf(entry->member);
+    if (belief.status == MemberStatus::Alive || belief.status == MemberStatus::Leaving) {
+        ++m_suspicions;
+        belief.status = MemberStatus::Suspect;
+        apply(belief, now);
+    }
+}
+
+void MembershipState::apply(const ShardView &news, bool isLocal)
+{
+    const auto known = m_views.find(news.key);
+    if (known != m_views.end() && known->second.epoch >= news.epoch) {
+        return;
+    }
+    if (known != m_views.end()) {
+        m_viewsHash -= hashOf(known->second);
+    }
+    m_views[news.key] = news;
+    m_viewsHash += hashOf(news);
+    m_queue.addView(news.key);
+    if (!isLocal) {
+        m_actions.emplace_back(ViewSpread{ news });
+    }
+}
+
+void MembershipState::expire(Instant now)
+{
+    std::vector<MemberNotice> deaths;
+    std::vector<NodeId> forgotten;
+    for (auto &[id, entry] : m_table.entries()) {
+        if (entry.suspectUntil && *entry.suspectUntil <= now) {
+            deaths.push_back({ id, entry.member.incarnation, entry.member.version, MemberStatus::Dead });
+        }
+        if (entry.heldBackUntil && *entry.heldBackUntil <= now) {
+            entry.heldBackUntil.reset();
+            if (entry.member.status == MemberStatus::Alive) {
+                report(entry);
+            }
+        }
+        if (entry.member.status == MemberStatus::Dead && entry.diedAt + m_options.deadRetention <= now) {
+            forgotten.push_back(id);
+        }
+    }
+    for (const MemberNotice &death : deaths) {
+        apply(death, now);
+    }
+    for (const NodeId id : forgotten) {
+        m_table.erase(id);
+    }
+}
+
+void MembershipState::postpone(Duration pause)
+{
+    for (auto &[id, entry] : m_table.entries()) {
+        if (entry.suspectUntil) {
+            *entry.suspectUntil += pause;
+        }
+    }
+}
+
+std::optional<Instant> MembershipState::nextExpiry() const
+{
+    std::optional<Instant> next;
+    const auto consider = [&next](Instant instant) { next = next ? std::min(*next, instant) : instant; };
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (entry.suspectUntil) {
+            consider(*entry.suspectUntil);
+        }
+        if (entry.heldBackUntil) {
+            consider(*entry.heldBackUntil);
+        }
+        if (entry.member.status == MemberStatus::Dead) {
+            consider(entry.diedAt + m_options.deadRetention);
+        }
+    }
+    return next;
+}
+
+Instant MembershipState::lastNews() const noexcept
+{
+    return m_lastNews;
+}
+
+const Member &MembershipState::self() const
+{
+    return m_table.find(m_options.self.id)->member;
+}
+
+const MemberTable &MembershipState::table() const noexcept
+{
+    return m_table;
+}
+
+const ViewTable &MembershipState::views() const noexcept
+{
+    return m_views;
+}
+
+std::uint64_t MembershipState::hash() const noexcept
+{
+    return m_table.hash() + m_viewsHash;
+}
+
+UpdateQueue &MembershipState::queue() noexcept
+{
+    return m_queue;
+}
+
+std::uint64_t MembershipState::suspicions() const noexcept
+{
+    return m_suspicions;
+}
+
+std::uint64_t MembershipState::refutations() const noexcept
+{
+    return m_refutations;
+}
+
+std::size_t MembershipState::stateBytes() const
+{
+    constexpr std::size_t treeNodeBytes = 48;
+    std::size_t bytes = 0;
+    for (const auto &[id, entry] : m_table.entries()) {
+        const Member &member = entry.member;
+        bytes += sizeof(id) + sizeof(entry) + treeNodeBytes + member.name.capacity() + member.zone.capacity() + member.rack.capacity()
+            + member.address.ip.capacity() + (member.offers.capacity() * sizeof(ServiceOffer));
+    }
+    return bytes + (m_views.size() * (sizeof(ShardKey) + sizeof(ShardView) + treeNodeBytes));
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/membership/membertable.cpp
@@ -0,0 +1,184 @@
+#include "membertable.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+int gravity(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Alive:
+        return 0;
+    case MemberStatus::Leaving:
+        return 1;
+    case MemberStatus::Suspect:
+        return 2;
+    case MemberStatus::Dead:
+        return 3;
+    }
+    return 3;
+}
+
+std::uint64_t hashOf(const Member &member)
+{
+    return mixBits(mixBits(mixBits(member.id.value) ^ member.incarnation) ^ member.version);
+}
+
+} // namespace
+
+std::uint64_t mixBits(std::uint64_t value)
+{
+    // Finalizer of SplitMix64.
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EB;
+    return value ^ (value >> 31U);
+}
+
+bool isNewer(const MemberNotice &news, const MemberNotice &known)
+{
+    return std::tuple(news.incarnation, news.version, gravity(news.status)) > std::tuple(known.incarnation, known.version, gravity(known.status));
+}
+
+MemberNotice noticeOf(const Member &member)
+{
+    return { member.id, member.incarnation, member.version, member.status };
+}
+
+MemberTable::MemberTable(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+MemberEntry *MemberTable::apply(const Member &news)
+{
+    const auto found = m_entries.find(news.id);
+    if (found == m_entries.end()) {
+        if (m_entries.size() >= m_capacity && !makeRoom()) {
+            ++m_refused;
+            return nullptr;
+        }
+        MemberEntry &entry = m_entries[news.id];
+        entry.member = news;
+        include(news);
+        return &entry;
+    }
+    MemberEntry &entry = found->second;
+    if (!isNewer(noticeOf(news), noticeOf(entry.member))) {
+        return nullptr;
+    }
+    changeStatus(entry, news);
+    return &entry;
+}
+
+MemberEntry *MemberTable::apply(const MemberNotice &news)
+{
+    const auto found = m_entries.find(news.id);
+    if (found == m_entries.end() || !isNewer(news, noticeOf(found->second.member))) {
+        return nullptr;
+    }
+    const bool describesKnownState = news.incarnation == found->second.member.incarnation && news.version == found->second.member.version;
+    if (!describesKnownState && news.status != MemberStatus::Dead) {
+        return nullptr;
+    }
+    Member changed = found->second.member;
+    changed.incarnation = news.incarnation;
+    changed.version = news.version;
+    changed.status = news.status;
+    changeStatus(found->second, changed);
+    return &found->second;
+}
+
+void MemberTable::changeStatus(MemberEntry &entry, const Member &news)
+{
+    exclude(entry.member);
+    const bool isSameLife = entry.member.incarnation == news.incarnation;
+    const Revision knownRevision = isSameLife ? entry.member.configurationRevision : 0;
+    entry.member = news;
+    entry.member.configurationRevision = std::max(news.configurationRevision, knownRevision);
+    include(news);
+}
+
+void MemberTable::include(const Member &member)
+{
+    if (member.status != MemberStatus::Dead) {
+        ++m_liveCount;
+        m_hash += hashOf(member);
+    }
+}
+
+void MemberTable::exclude(const Member &member)
+{
+    if (member.status != MemberStatus::Dead) {
+        --m_liveCount;
+        m_hash -= hashOf(member);
+    }
+}
+
+bool MemberTable::makeRoom()
+{
+    auto oldest = m_entries.end();
+    for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry) {
+        const bool isDead = entry->second.member.status == MemberStatus::Dead;
+        if (isDead && (oldest == m_entries.end() || entry->second.diedAt < oldest->second.diedAt)) {
+            oldest = entry;
+        }
+    }
+    if (oldest == m_entries.end()) {
+        return false;
+    }
+    m_entries.erase(oldest);
+    return true;
+}
+
+MemberEntry *MemberTable::find(NodeId id)
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const MemberEntry *MemberTable::find(NodeId id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+MemberTable::Entries &MemberTable::entries() noexcept
+{
+    return m_entries;
+}
+
+const MemberTable::Entries &MemberTable::entries() const noexcept
+{
+    return m_entries;
+}
+
+void MemberTable::erase(NodeId id)
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end()) {
+        exclude(found->second.member);
+        m_entries.erase(found);
+    }
+}
+
+std::size_t MemberTable::liveCount() const noexcept
+{
+    return m_liveCount;
+}
+
+std::uint64_t MemberTable::hash() const noexcept
+{
+    return m_hash;
+}
+
+std::uint64_t MemberTable::refused() const noexcept
+{
+    return m_refused;
+}
+
+} // namespace lagoonroute
--- a/modules/platform/platform.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <lagoonroute/platform/platform.h>
--- /dev/null
+++ b/modules/platform/storeclientcore.cpp
@@ -0,0 +1,155 @@
+#include <lagoonroute/platform/storeclientcore.h>
+
+#include <algorithm>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+bool isWrite(const StoreOperation &operation)
+{
+    return std::holds_alternative<StoreSwap>(operation) || std::holds_alternative<StoreLease>(operation);
+}
+
+Duration waitOf(const StoreOperation &operation)
+{
+    const auto *watch = std::get_if<StoreWatch>(&operation);
+    return watch == nullptr ? Duration{ 0 } : watch->wait;
+}
+
+bool isTooLarge(const StoreOperation &operation)
+{
+    const auto *swap = std::get_if<StoreSwap>(&operation);
+    return swap != nullptr && swap->value.size() > maxStoreValueBytes;
+}
+
+} // namespace
+
+StoreClientCore::Options StoreClientCore::Options::withReads(double perSecond, double burst) const
+{
+    Options changed = *this;
+    changed.readsPerSecond = perSecond;
+    changed.readBurst = burst;
+    return changed;
+}
+
+StoreClientCore::Options StoreClientCore::Options::withWrites(double perSecond, double burst) const
+{
+    Options changed = *this;
+    changed.writesPerSecond = perSecond;
+    changed.writeBurst = burst;
+    return changed;
+}
+
+StoreClientCore::Options StoreClientCore::Options::withTimeout(Duration answerTimeout) const
+{
+    Options changed = *this;
+    changed.timeout = answerTimeout;
+    return changed;
+}
+
+StoreClientCore::Options StoreClientCore::Options::withSeed(std::uint64_t value) const
+{
+    Options changed = *this;
+    changed.seed = value;
+    return changed;
+}
+
+StoreClientCore::StoreClientCore(const Options &options)
+    : m_options(options)
+    , m_reads(options.readsPerSecond, options.readBurst)
+    , m_writes(options.writesPerSecond, options.writeBurst)
+    , m_breaker(options.failuresToOpen, Backoff(options.firstBackoff, options.maxBackoff, options.seed))
+{
+}
+
+bool StoreClientCore::isAdmitted(const StoreCall &call, Instant now)
+{
+    if (isTooLarge(call.operation)) {
+        return false;
+    }
+    TokenBucket &budget = isWrite(call.operation) ? m_writes : m_reads;
+    return budget.take(now) && m_breaker.admit(now);
+}
+
+void StoreClientCore::submit(const StoreCall &call, Instant now, Actions &actions)
+{
+    StoreCallCounts &counts = countsOf(call.purpose);
+    if (!isAdmitted(call, now)) {
+        ++counts.refused;
+        actions.replies.push_back({ .number = call.number, .status = StoreStatus::Rejected, .purpose = call.purpose });
+        return;
+    }
+    ++counts.sent;
+    const std::uint64_t number = ++m_lastNumber;
+    m_waiting[number] = { call.number, call.purpose, now + m_options.timeout + waitOf(call.operation) };
+    actions.calls.push_back({ number, call.purpose, call.operation });
+}
+
+void StoreClientCore::handle(const StoreReply &reply, Instant now, Actions &actions)
+{
+    const auto found = m_waiting.find(reply.number);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    const Waiting waiting = found->second;
+    m_waiting.erase(found);
+    if (reply.status == StoreStatus::Unknown) {
+        ++countsOf(waiting.purpose).timedOut;
+        m_breaker.failed(now);
+    } else {
+        ++countsOf(waiting.purpose).answered;
+        m_breaker.succeeded();
+    }
+    actions.replies.push_back({ waiting.callerNumber, reply.status, reply.entry, waiting.purpose });
+}
+
+void StoreClientCore::notSent(std::uint64_t number, Actions &actions)
+{
+    const auto found = m_waiting.find(number);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    const Waiting waiting = found->second;
+    m_waiting.erase(found);
+    ++countsOf(waiting.purpose).refused;
+    actions.replies.push_back({ .number = waiting.callerNumber, .status = StoreStatus::Rejected, .purpose = waiting.purpose });
+}
+
+void StoreClientCore::elapse(Instant now, Actions &actions)
+{
+    for (auto next = m_waiting.begin(); next != m_waiting.end();) {
+        const auto current = next++;
+        if (current->second.deadline <= now) {
+            handle(StoreReply{ .number = current->first, .status = StoreStatus::Unknown }, now, actions);
+        }
+    }
+}
+
+std::optional<Instant> StoreClientCore::nextWake() const
+{
+    std::optional<Instant> wake;
+    for (const auto &[number, waiting] : m_waiting) {
+        wake = wake ? std::min(*wake, waiting.deadline) : waiting.deadline;
+    }
+    return wake;
+}
+
+const StoreCallCounts &StoreClientCore::counts(StorePurpose purpose) const
+{
+    return m_counts.at(static_cast<std::size_t>(purpose));
+}
+
+StoreCallCounts &StoreClientCore::countsOf(StorePurpose purpose)
+{
+    return m_counts.at(static_cast<std::size_t>(purpose));
+}
+
+CircuitState StoreClientCore::circuit() const
+{
+    return m_breaker.state();
+}
+
+} // namespace lagoonroute
