--- a/modules/app/settings.cpp
+++ b/modules/app/settings.cpp
@@ -61,6 +61,14 @@
     return member->get_array();
 }
 
+const json::object &elementOf(const json::value &element, const char *listName)
+{
+    if (!element.is_object()) {
+        throw InvalidDocument("each element of \"" + std::string(listName) + "\" must be an object");
+    }
+    return element.get_object();
+}
+
 NodeAddress addressOf(const json::object &object)
 {
     return NodeAddress{ text(object, "ip"), smallNumber(object, "port") };
@@ -76,7 +84,7 @@
     member.zone = textOr(object, "zone", "");
     member.rack = textOr(object, "rack", "");
     for (const json::value &offer : list(object, "offers")) {
-        const json::object &fields = offer.as_object();
+        const json::object &fields = elementOf(offer, "offers");
         member.offers.push_back(ServiceOffer{ text(fields, "service"), smallNumber(fields, "slots"), smallNumber(fields, "connections"), {} });
     }
     return member;
@@ -126,13 +134,13 @@
             settings.drainLimit = std::chrono::milliseconds(smallNumber(object, "drainLimitMs"));
         }
         for (const json::value &member : list(object, "members")) {
-            settings.members.push_back(memberOf(member.as_object()));
+            settings.members.push_back(memberOf(elementOf(member, "members")));
         }
         for (const json::value &service : list(object, "services")) {
-            settings.services.push_back(ServiceRules::Builder(lagoonroute::text(service.as_object(), "name")).build());
+            settings.services.push_back(ServiceRules::Builder(lagoonroute::text(elementOf(service, "services"), "name")).build());
         }
         for (const json::value &view : list(object, "views")) {
-            settings.views.push_back(viewOf(view.as_object()));
+            settings.views.push_back(viewOf(elementOf(view, "views")));
         }
         return settings;
     } catch (const InvalidDocument &fault) {
--- a/modules/configuration/repeatedfields.cpp
+++ b/modules/configuration/repeatedfields.cpp
@@ -113,7 +113,8 @@
     options.allow_trailing_commas = true;
     json::basic_parser<RepeatedFieldHandler> parser(options);
     json::error_code error;
-    const std::size_t consumed = parser.write_some(false, text.data(), text.size(), error);
+    // After a fault in or behind a comment, the parser's count can lie beyond the text.
+    const std::size_t consumed = std::min(parser.write_some(false, text.data(), text.size(), error), text.size());
     std::vector<CheckFault> faults = parser.handler().faults;
     if (error || consumed < text.size()) {
         const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(consumed), '\n');
--- a/modules/transport/archive.h
+++ b/modules/transport/archive.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
+#include <vector>
 
 namespace lagoonroute
 {
@@ -127,6 +129,20 @@
     archive.loadBinary(data.data, static_cast<std::size_t>(data.size));
 }
 
+/** Reads elements one by one, so that memory is taken for those that are there and not for those announced. */
+template <typename T, typename Allocator>
+std::enable_if_t<!std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(MessageInputArchive &archive, std::vector<T, Allocator> &elements)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    elements.clear();
+    while (elements.size() < size) {
+        T element{};
+        archive(element);
+        elements.push_back(std::move(element));
+    }
+}
+
 template <typename T>
 void CEREAL_SERIALIZE_FUNCTION_NAME(MessageOutputArchive &archive, cereal::NameValuePair<T> &pair)
 {
