Scheduler in parts: fair queue, accounts, estimates, health, admission, retry budget

Cause: the scheduler was one first-come queue with a counter per worker; a caller's flood starved the others, a removed worker lost its accounts, and nothing judged workers or refused what can never run.

Change: Scheduler becomes BasicScheduler<Policy> over the concept PlacementPolicy (late binding by default; random, round robin, two choices, least loaded) and is composed of FairQueue, RunTimeEstimator, WorkerAccounts, WorkerHealth, AdmissionControl, RetryQueue with RetryBudget. TaskDemand names the size of its job, so that the home prefers its own worker for jobs of one task; the home core sets both. Scheduler::straggling() proposes withdrawals.

Tests: shares by weight, newcomer beside a flood, near deadlines, a RapidCheck property of the queue, exact accounts across removal, new lives and adoption.

--- a/include/lagoonroute/configuration/servicerules.h
+++ b/include/lagoonroute/configuration/servicerules.h
@@ -162,7 +162,7 @@
     std::string m_upstreamPath = "/tasks";
     RoutingPreference m_preference = RoutingPreference::ResponseTime;
     std::uint32_t m_queueLimit = 10000;
-    std::uint32_t m_executorQueueDepth = 1;
+    std::uint32_t m_executorQueueDepth = 0;
     std::uint32_t m_defaultCallerWeight = 1;
     std::map<std::string, std::uint32_t> m_callerWeights;
     std::uint32_t m_retryBudgetPercent = 20;
--- a/include/lagoonroute/placement/scheduler.h
+++ b/include/lagoonroute/placement/scheduler.h
@@ -1,73 +1,38 @@
 #pragma once
 
-#include <lagoonroute/base/identifiers.h>
-#include <lagoonroute/base/outcome.h>
-#include <lagoonroute/base/time.h>
 #include <lagoonroute/configuration/servicerules.h>
-#include <lagoonroute/placement/workerstate.h>
+#include <lagoonroute/placement/fairqueue.h>
+#include <lagoonroute/placement/placementpolicy.h>
+#include <lagoonroute/placement/retrybudget.h>
+#include <lagoonroute/placement/runtimeestimator.h>
+#include <lagoonroute/placement/workeraccounts.h>
+#include <lagoonroute/placement/workerhealth.h>
 
-#include <deque>
-#include <map>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace lagoonroute
 {
 
-/** One task as the scheduler sees it. */
-struct TaskDemand
-{
-    TaskId task;
-    std::string caller; /**< For fair shares among callers. */
-    Resources need; /**< As the caller declared it. */
-    Duration declaredRunTime{ 0 }; /**< As the caller declared it; zero when he did not. */
-    Instant startBy; /**< The task is worthless when it has not started by then. */
-
-    auto operator<=>(const TaskDemand &) const = default;
-};
-
-/** Decision to start a task on a worker. */
-struct Placement
-{
-    TaskId task;
-    NodeId worker;
-
-    auto operator<=>(const Placement &) const = default;
-};
-
-/** Why a job is not admitted to the queue. */
-struct AdmissionRefusal
-{
-    Reason reason = Reason::None;
-    std::string detail;
-    std::optional<Duration> retryAfter;
-
-    auto operator<=>(const AdmissionRefusal &) const = default;
-};
-
-/** How an attempt to run a task on a worker ended, seen from the home. */
-enum class AttemptResult : std::uint8_t {
-    Succeeded,
-    FailedAtWorker, /**< The upstream answered with an error, broke off or timed out. */
-    RefusedNotStarted, /**< The worker proved that it did not start the task. */
-};
-
 /**
  * Decides which waiting task starts next and on which worker. Pure: no clock, no randomness of its own.
  *
  * The scheduler keeps the queue of one service at its home and the account of every worker's slots. The home calls
  * nextPlacement() until it returns nothing, after every change.
  */
-class Scheduler
+template <PlacementPolicy Policy>
+class BasicScheduler
 {
 public:
-    /** Creates a scheduler under the given rules; `seed` feeds the generator of policies that draw lots. */
-    Scheduler(ServiceRules rules, std::uint64_t seed);
+    /** Creates a scheduler under the given rules; `seed` feeds the generator of back-offs and of policies that draw lots. */
+    BasicScheduler(ServiceRules rules, std::uint64_t seed);
 
     /** Replaces the rules. Waiting tasks stay, also above a lowered limit. */
     void setRules(ServiceRules rules);
 
+    /** Names the node on which the home runs: jobs of one task go to its own worker when that has a free slot. */
+    void setHome(NodeId home);
+
     /** Adds a worker or replaces what is known of it. */
     void updateWorker(const WorkerState &worker);
 
@@ -77,7 +42,7 @@
     /** Tells whether a job of these tasks may enter the queue now; a refusal names the reason. */
     [[nodiscard]] std::optional<AdmissionRefusal> admit(const std::vector<TaskDemand> &tasks, Instant now) const;
 
-    /** Appends a task. The job must have been admitted. */
+    /** Appends a task. The job must have been admitted. A task that was refused before it started waits for its back-off. */
     void enqueue(TaskDemand task, Instant now);
 
     /** Takes a waiting task out of the queue. Returns false when it does not wait. */
@@ -89,28 +54,69 @@
     /** Returns waiting tasks whose start-by time has passed, taking them out of the queue. */
     [[nodiscard]] std::vector<TaskId> takeExpired(Instant now);
 
-    /** Settles the slot that a task held on a worker. `runTime` is what the worker measured. */
+    /** Settles the slot that a task held on a worker. `runTime` is what the worker measured. Repeating it changes nothing. */
     void attemptEnded(const TaskId &task, NodeId worker, AttemptResult result, Duration runTime, Instant now);
 
     /** Accounts a task that a worker is known to run already, after the home has changed. */
     void adopt(const TaskDemand &task, NodeId worker, Instant now);
 
+    /**
+     * Returns tasks that wait at the executor of a straggler while another worker has a free slot.
+     *
+     * The home may withdraw them, and calls attemptEnded() with RefusedNotStarted and enqueue() once the withdrawal is
+     * confirmed. Each task is returned once, and counts against the retry budget.
+     */
+    [[nodiscard]] std::vector<Placement> straggling(Instant now);
+
     /** Returns when something changes by time alone, such as a start-by time. */
     [[nodiscard]] std::optional<Instant> nextWake() const;
 
     /** Number of tasks that wait. */
     [[nodiscard]] std::size_t waiting() const noexcept;
 
-private:
-    struct WorkerAccount
+    /** Accounts of all workers. */
+    [[nodiscard]] const WorkerAccounts &accounts() const noexcept
     {
-        WorkerState state;
-        std::uint32_t running = 0;
-    };
+        return m_accounts;
+    }
+
+    /** Judgement of all workers. */
+    [[nodiscard]] const WorkerHealth &health() const noexcept
+    {
+        return m_health;
+    }
+
+private:
+    void releaseDelayed(Instant now);
+    void collectCandidates(Instant now);
+    void findStalled(Instant now);
+    [[nodiscard]] std::optional<std::size_t> chooseWorker(const WaitingTask &task);
+    [[nodiscard]] bool hasOtherFreeSlot(NodeId worker, Instant now) const;
 
     ServiceRules m_rules;
-    std::deque<TaskDemand> m_queue;
-    std::map<NodeId, WorkerAccount> m_workers;
+    PlacementRandom m_random;
+    Policy m_policy;
+    NodeId m_home;
+    FairQueue m_queue;
+    RunTimeEstimator m_estimator;
+    WorkerAccounts m_accounts;
+    WorkerHealth m_health;
+    RetryQueue m_retries;
+    Instant m_lastCall; // of a method that was told the time
+    Instant m_stalledChecked;
+    std::vector<Candidate> m_candidates; // of the present decision
+    std::vector<const WorkerAccount *> m_candidateAccounts;
+    std::vector<Candidate> m_fitting;
+    Duration m_drainTime{ 0 };
 };
 
+extern template class BasicScheduler<LateBinding>;
+extern template class BasicScheduler<RandomChoice>;
+extern template class BasicScheduler<RoundRobin>;
+extern template class BasicScheduler<TwoChoices>;
+extern template class BasicScheduler<LeastLoaded>;
+
+/** The scheduler of a home. */
+using Scheduler = BasicScheduler<LateBinding>;
+
 } // namespace lagoonroute
--- a/modules/dispatch/homecore.cpp
+++ b/modules/dispatch/homecore.cpp
@@ -99,6 +99,7 @@
     , m_scheduler(std::move(rules), seed)
     , m_lastEvent(now)
 {
+    m_scheduler.setHome(self);
 }
 
 void HomeCore::Implementation::handle(const AgentEvent &event, Instant now, Actions &actions)
--- a/modules/dispatch/hometasks.cpp
+++ b/modules/dispatch/hometasks.cpp
@@ -315,9 +315,12 @@
 TaskDemand HomeCore::Implementation::demandOf(const JobId &id, const ActiveJob &job, TaskIndex index)
 {
     const TaskSpec &spec = job.content.tasks.at(index);
-    return TaskDemand{
-        .task = { id, index }, .caller = job.content.caller, .need = spec.need, .declaredRunTime = spec.declaredRunTime, .startBy = job.deadline
-    };
+    return TaskDemand{ .task = { id, index },
+                       .caller = job.content.caller,
+                       .need = spec.need,
+                       .declaredRunTime = spec.declaredRunTime,
+                       .startBy = job.deadline,
+                       .jobSize = static_cast<std::uint16_t>(job.tasks.size()) };
 }
 
 } // namespace lagoonroute
--- /dev/null
+++ b/modules/placement/fairqueue.cpp
@@ -0,0 +1,351 @@
+#include <lagoonroute/placement/fairqueue.h>
+
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/mem_fun.hpp>
+#include <boost/multi_index/ordered_index.hpp>
+#include <boost/multi_index_container.hpp>
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+namespace mi = boost::multi_index;
+
+/** Callers without waiting tasks are forgotten beyond this number, when their clocks no longer matter. */
+constexpr std::size_t maxIdleCallers = 4096;
+
+using CallerOrder = std::pair<Instant, std::uint64_t>; // tag of the first task, number of the caller
+
+struct Caller
+{
+    std::uint64_t number = 0;
+    double weight = 1;
+    Instant clock; // advances with the slot time that the caller is given
+    std::size_t waiting = 0;
+    Duration work{ 0 };
+    std::optional<CallerOrder> order;
+};
+
+struct Entry
+{
+    WaitingTask waiting;
+    Caller *caller = nullptr;
+    Instant key;
+    std::uint64_t sequence = 0;
+
+    [[nodiscard]] TaskId task() const
+    {
+        return waiting.demand.task;
+    }
+
+    [[nodiscard]] std::tuple<std::uint64_t, Instant, std::uint64_t> order() const
+    {
+        return { caller->number, key, sequence };
+    }
+
+    [[nodiscard]] Instant startBy() const
+    {
+        return waiting.demand.startBy;
+    }
+};
+
+struct ByTask;
+struct ByOrder;
+struct ByDeadline;
+
+using Entries = mi::multi_index_container<
+    Entry,
+    mi::indexed_by<mi::hashed_unique<mi::tag<ByTask>, mi::const_mem_fun<Entry, TaskId, &Entry::task>, std::hash<TaskId>>,
+                   mi::ordered_unique<mi::tag<ByOrder>, mi::const_mem_fun<Entry, std::tuple<std::uint64_t, Instant, std::uint64_t>, &Entry::order>>,
+                   mi::ordered_non_unique<mi::tag<ByDeadline>, mi::const_mem_fun<Entry, Instant, &Entry::startBy>>>>;
+
+} // namespace
+
+class FairQueue::Private
+{
+public:
+    using OrderIterator = Entries::index<ByOrder>::type::iterator;
+
+    explicit Private(Options givenOptions)
+        : options(givenOptions)
+    {
+    }
+
+    Caller &callerNamed(const std::string &name)
+    {
+        const auto [found, isNew] = callers.try_emplace(name);
+        if (isNew) {
+            found->second.number = ++lastNumber;
+            found->second.weight = weightOf(name);
+        }
+        return found->second;
+    }
+
+    [[nodiscard]] double weightOf(const std::string &name) const
+    {
+        const auto found = weights.find(name);
+        return std::max(1U, found == weights.end() ? defaultWeight : found->second);
+    }
+
+    /** Weight of the other callers that wait. */
+    [[nodiscard]] double weightBeside(const std::string &name) const
+    {
+        const Caller *caller = findCaller(name);
+        return std::max(0.0, activeWeight - (caller != nullptr && caller->waiting > 0 ? caller->weight : 0));
+    }
+
+    [[nodiscard]] const Caller *findCaller(const std::string &name) const
+    {
+        const auto found = callers.find(name);
+        return found == callers.end() ? nullptr : &found->second;
+    }
+
+    /** Moves a caller to its place among the callers that wait. */
+    void reorder(Caller &caller)
+    {
+        std::optional<CallerOrder> order;
+        if (caller.waiting > 0) {
+            const auto first = entries.get<ByOrder>().lower_bound(std::tuple(caller.number, Instant::min(), std::uint64_t{ 0 }));
+            order = CallerOrder{ tagOf(*first), caller.number };
+        }
+        if (order == caller.order) {
+            return;
+        }
+        auto node = caller.order ? ready.extract(*caller.order) : std::set<CallerOrder>::node_type{};
+        caller.order = order;
+        if (order && node) {
+            node.value() = *order;
+            ready.insert(std::move(node));
+        } else if (order) {
+            ready.insert(*order);
+        }
+    }
+
+    /** Place of a task among those of all callers. */
+    [[nodiscard]] Instant tagOf(const Entry &entry) const
+    {
+        return std::max(entry.key, entry.caller->clock - options.tolerance);
+    }
+
+    /** Time that a caller's share of the slots needs for the given slot time. */
+    [[nodiscard]] Duration shareTime(const Caller &caller, Duration slotTime) const
+    {
+        const double competing = std::max(activeWeight, caller.weight);
+        return Duration(static_cast<Duration::rep>(static_cast<double>(slotTime.count()) * competing / (caller.weight * slots)));
+    }
+
+    WaitingTask take(OrderIterator position)
+    {
+        Caller &caller = *position->caller;
+        --caller.waiting;
+        caller.work -= position->waiting.estimate;
+        activeWeight -= caller.waiting == 0 ? caller.weight : 0;
+        work -= position->waiting.estimate;
+        WaitingTask taken = position->waiting;
+        entries.get<ByOrder>().erase(position);
+        reorder(caller);
+        return taken;
+    }
+
+    WaitingTask takeCharged(OrderIterator position)
+    {
+        Caller &caller = *position->caller;
+        lastTag = std::max(lastTag, tagOf(*position));
+        caller.clock += shareTime(caller, position->waiting.estimate);
+        return take(position);
+    }
+
+    void forgetIdleCallers()
+    {
+        if (callers.size() < maxIdleCallers + ready.size()) {
+            return;
+        }
+        std::erase_if(callers, [this](const auto &item) { return item.second.waiting == 0 && item.second.clock <= lastTag; });
+    }
+
+    Options options;
+    Entries entries;
+    std::unordered_map<std::string, Caller> callers;
+    std::set<CallerOrder> ready;
+    std::map<std::string, std::uint32_t> weights;
+    std::uint32_t defaultWeight = 1;
+    double slots = 1;
+    Instant lastTag; // of the tasks taken so far, the latest
+    double activeWeight = 0;
+    Duration work{ 0 };
+    std::uint64_t lastNumber = 0;
+    std::uint64_t lastSequence = 0;
+};
+
+FairQueue::Options &FairQueue::Options::withPatience(Duration value)
+{
+    patience = value;
+    return *this;
+}
+
+FairQueue::Options &FairQueue::Options::withTolerance(Duration value)
+{
+    tolerance = value;
+    return *this;
+}
+
+FairQueue::Options &FairQueue::Options::withSizeWeight(double value)
+{
+    sizeWeight = value;
+    return *this;
+}
+
+FairQueue::Options &FairQueue::Options::withScanLimit(std::size_t value)
+{
+    scanLimit = value;
+    return *this;
+}
+
+FairQueue::FairQueue(Options options)
+    : d(std::make_unique<Private>(options))
+{
+}
+
+FairQueue::~FairQueue() = default;
+FairQueue::FairQueue(FairQueue &&) noexcept = default;
+FairQueue &FairQueue::operator=(FairQueue &&) noexcept = default;
+
+void FairQueue::setWeights(std::map<std::string, std::uint32_t> weights, std::uint32_t defaultWeight)
+{
+    d->weights = std::move(weights);
+    d->defaultWeight = defaultWeight;
+    d->activeWeight = 0;
+    for (auto &[name, caller] : d->callers) {
+        caller.weight = d->weightOf(name);
+        d->activeWeight += caller.waiting > 0 ? caller.weight : 0;
+    }
+}
+
+void FairQueue::setSlots(std::uint32_t slots)
+{
+    d->slots = std::max(1U, slots);
+}
+
+void FairQueue::push(WaitingTask task)
+{
+    d->forgetIdleCallers();
+    Caller &caller = d->callerNamed(task.demand.caller);
+    const Instant arrival = std::min(task.enqueued, d->lastTag + d->options.tolerance);
+    const Duration sizeDelay(static_cast<Duration::rep>(d->options.sizeWeight * static_cast<double>(task.estimate.count())));
+    const Instant key = std::min(arrival + sizeDelay, task.demand.startBy - task.estimate - d->options.patience);
+    const Duration estimate = task.estimate;
+    if (!d->entries.insert(Entry{ std::move(task), &caller, key, ++d->lastSequence }).second) {
+        return;
+    }
+    if (caller.waiting == 0) {
+        caller.clock = arrival;
+        d->activeWeight += caller.weight;
+    }
+    ++caller.waiting;
+    caller.work += estimate;
+    d->work += estimate;
+    d->reorder(caller);
+}
+
+std::optional<WaitingTask> FairQueue::remove(const TaskId &task)
+{
+    const auto found = d->entries.get<ByTask>().find(task);
+    if (found == d->entries.get<ByTask>().end()) {
+        return std::nullopt;
+    }
+    return d->take(d->entries.project<ByOrder>(found));
+}
+
+std::optional<WaitingTask> FairQueue::takeFirst(const Accepts &accepts)
+{
+    if (d->entries.empty()) {
+        return std::nullopt;
+    }
+    const auto &order = d->entries.get<ByOrder>();
+    std::size_t scanned = 0;
+    for (const CallerOrder &callerOrder : d->ready) {
+        const std::uint64_t number = callerOrder.second;
+        const std::size_t callerLimit = scanned + std::max<std::size_t>(1, d->options.scanLimit / 4);
+        auto position = order.lower_bound(std::tuple(number, Instant::min(), std::uint64_t{ 0 }));
+        for (; position != order.end() && position->caller->number == number && scanned < callerLimit; ++position, ++scanned) {
+            if (accepts(position->waiting)) {
+                return d->takeCharged(position);
+            }
+        }
+        if (scanned >= d->options.scanLimit) {
+            break;
+        }
+    }
+    return std::nullopt;
+}
+
+void FairQueue::correctCharge(const std::string &caller, Duration difference)
+{
+    const auto found = d->callers.find(caller);
+    if (found == d->callers.end()) {
+        return;
+    }
+    found->second.clock += d->shareTime(found->second, difference);
+    d->reorder(found->second);
+}
+
+std::vector<TaskId> FairQueue::takeExpired(Instant now)
+{
+    std::vector<TaskId> expired;
+    auto &byDeadline = d->entries.get<ByDeadline>();
+    while (!byDeadline.empty() && byDeadline.begin()->startBy() <= now) {
+        expired.push_back(byDeadline.begin()->task());
+        d->take(d->entries.project<ByOrder>(byDeadline.begin()));
+    }
+    return expired;
+}
+
+std::optional<Instant> FairQueue::earliestDeadline() const
+{
+    const auto &byDeadline = d->entries.get<ByDeadline>();
+    return byDeadline.empty() ? std::nullopt : std::optional(byDeadline.begin()->startBy());
+}
+
+std::size_t FairQueue::size() const noexcept
+{
+    return d->entries.size();
+}
+
+Duration FairQueue::work() const noexcept
+{
+    return d->work;
+}
+
+std::size_t FairQueue::sizeOf(const std::string &caller) const
+{
+    const Caller *found = d->findCaller(caller);
+    return found == nullptr ? 0 : found->waiting;
+}
+
+Duration FairQueue::workOf(const std::string &caller) const
+{
+    const Caller *found = d->findCaller(caller);
+    return found == nullptr ? Duration{ 0 } : found->work;
+}
+
+double FairQueue::shareOf(const std::string &caller) const
+{
+    const double weight = d->weightOf(caller);
+    return weight / (weight + d->weightBeside(caller));
+}
+
+double FairQueue::boundedShareOf(const std::string &caller) const
+{
+    const double weight = d->weightOf(caller);
+    return weight / (weight + d->weightBeside(caller) + d->defaultWeight);
+}
+
+} // namespace lagoonroute
--- a/modules/placement/scheduler.cpp
+++ b/modules/placement/scheduler.cpp
@@ -1,116 +1,284 @@
+#include <lagoonroute/placement/admissioncontrol.h>
 #include <lagoonroute/placement/scheduler.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace lagoonroute
 {
 
-Scheduler::Scheduler(ServiceRules rules, std::uint64_t /*seed*/)
-    : m_rules(std::move(rules))
+namespace
 {
+
+constexpr double percent = 100;
+constexpr Duration stalledCheckInterval = std::chrono::milliseconds(250);
+constexpr int stalledFactor = 8; // run time against the mean
+constexpr std::size_t minStalledTasks = 2;
+
+bool isStalled(const WorkerAccount &account, Duration limit, Instant now)
+{
+    std::size_t overdue = 0;
+    for (const AccountedTask &task : account.tasks()) {
+        overdue += now - task.placed > std::max(limit, stalledFactor * task.estimate) ? 1 : 0;
+    }
+    return overdue >= minStalledTasks && 2 * overdue >= account.tasks().size();
 }
 
-void Scheduler::setRules(ServiceRules rules)
+} // namespace
+
+template <PlacementPolicy Policy>
+BasicScheduler<Policy>::BasicScheduler(ServiceRules rules, std::uint64_t seed)
+    : m_random(seed)
+    , m_queue(FairQueue::Options{})
+    , m_health(rules.ejection(), rules.straggler())
+    , m_retries(RetryBudget::Options{})
+{
+    setRules(std::move(rules));
+}
+
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::setRules(ServiceRules rules)
 {
     m_rules = std::move(rules);
+    m_queue.setWeights(m_rules.callerWeights(), m_rules.defaultCallerWeight());
+    m_health.setRules(m_rules.ejection(), m_rules.straggler());
+    m_retries.budget().setShare(m_rules.retryBudgetPercent() / percent);
 }
 
-void Scheduler::updateWorker(const WorkerState &worker)
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::setHome(NodeId home)
 {
-    m_workers[worker.node].state = worker;
+    m_home = home;
 }
 
-void Scheduler::removeWorker(NodeId worker)
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::updateWorker(const WorkerState &worker)
 {
-    m_workers.erase(worker);
+    m_accounts.update(worker);
+    m_health.add(worker.node, worker.incarnation);
+    m_queue.setSlots(m_accounts.slots());
 }
 
-std::optional<AdmissionRefusal> Scheduler::admit(const std::vector<TaskDemand> &tasks, Instant /*now*/) const
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::removeWorker(NodeId worker)
 {
-    if (m_workers.empty()) {
-        return AdmissionRefusal{ Reason::NoWorker, "no worker offers the service", std::chrono::seconds(1) };
-    }
-    if (m_queue.size() + tasks.size() > m_rules.queueLimit()) {
-        return AdmissionRefusal{ Reason::Overloaded, "the queue of the service is full", std::chrono::seconds(1) };
-    }
-    return std::nullopt;
+    m_accounts.remove(worker);
+    m_health.forget(worker);
+    m_queue.setSlots(m_accounts.slots());
+}
+
+template <PlacementPolicy Policy>
+std::optional<AdmissionRefusal> BasicScheduler<Policy>::admit(const std::vector<TaskDemand> &tasks, Instant now) const
+{
+    return AdmissionControl(m_queue, m_accounts, m_estimator, m_rules.queueLimit(), m_retries.size()).decide(tasks, now);
 }
 
-void Scheduler::enqueue(TaskDemand task, Instant /*now*/)
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::enqueue(TaskDemand task, Instant now)
 {
-    m_queue.push_back(std::move(task));
+    m_lastCall = now;
+    if (m_retries.knows(task.task)) {
+        m_retries.delay(std::move(task), now, m_random);
+        return;
+    }
+    m_retries.budget().earn();
+    const Duration estimate = m_estimator.estimate(task.caller, task.declaredRunTime);
+    m_queue.push(WaitingTask{ std::move(task), estimate, now });
 }
 
-bool Scheduler::remove(const TaskId &task)
+template <PlacementPolicy Policy>
+bool BasicScheduler<Policy>::remove(const TaskId &task)
 {
-    return std::erase_if(m_queue, [&task](const TaskDemand &waiting) { return waiting.task == task; }) > 0;
+    const bool wasDelayed = m_retries.remove(task);
+    return m_queue.remove(task).has_value() || wasDelayed;
 }
 
-std::optional<Placement> Scheduler::nextPlacement(Instant /*now*/)
+template <PlacementPolicy Policy>
+std::optional<Placement> BasicScheduler<Policy>::nextPlacement(Instant now)
 {
-    if (m_queue.empty()) {
+    m_lastCall = now;
+    releaseDelayed(now);
+    if (m_queue.size() == 0) {
         return std::nullopt;
     }
-    WorkerAccount *best = nullptr;
-    for (auto &[node, account] : m_workers) {
-        const bool hasFreeSlot = !account.state.leaving && account.running < account.state.slots;
-        if (hasFreeSlot && (best == nullptr || account.running < best->running)) {
-            best = &account;
-        }
+    findStalled(now);
+    collectCandidates(now);
+    if (m_candidates.empty()) {
+        return std::nullopt;
     }
-    if (best == nullptr) {
+    NodeId worker;
+    const auto accepts = [this, &worker](const WaitingTask &task) {
+        const auto chosen = chooseWorker(task);
+        worker = chosen ? m_fitting[*chosen].worker : NodeId{};
+        return chosen.has_value();
+    };
+    auto task = m_queue.takeFirst(accepts);
+    if (!task) {
         return std::nullopt;
     }
-    ++best->running;
-    const Placement placement{ m_queue.front().task, best->state.node };
-    m_queue.pop_front();
+    const Placement placement{ task->demand.task, worker };
+    m_accounts.assign(worker, AccountedTask{ std::move(task->demand), task->estimate, task->enqueued, now });
     return placement;
 }
 
-std::vector<TaskId> Scheduler::takeExpired(Instant now)
+template <PlacementPolicy Policy>
+std::vector<TaskId> BasicScheduler<Policy>::takeExpired(Instant now)
 {
-    std::vector<TaskId> expired;
-    std::erase_if(m_queue, [&expired, now](const TaskDemand &waiting) {
-        if (waiting.startBy > now) {
-            return false;
-        }
-        expired.push_back(waiting.task);
-        return true;
-    });
+    m_lastCall = now;
+    std::vector<TaskId> expired = m_queue.takeExpired(now);
+    for (const TaskId &task : expired) {
+        m_retries.forget(task);
+    }
+    m_retries.takeExpired(now, expired);
     return expired;
 }
 
-void Scheduler::attemptEnded(const TaskId & /*task*/, NodeId worker, AttemptResult /*result*/, Duration /*runTime*/, Instant /*now*/)
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::attemptEnded(const TaskId &task, NodeId worker, AttemptResult result, Duration runTime, Instant now)
 {
-    const auto found = m_workers.find(worker);
-    if (found != m_workers.end() && found->second.running > 0) {
-        --found->second.running;
+    m_lastCall = now;
+    const auto settled = m_accounts.settle(task, worker);
+    if (!settled) {
+        return;
+    }
+    m_health.record(worker, result, runTime, settled->estimate, now);
+    if (result == AttemptResult::RefusedNotStarted) {
+        m_queue.correctCharge(settled->demand.caller, -settled->estimate);
+        m_retries.refused(task, settled->enqueued);
+        return;
     }
+    m_retries.forget(task);
+    m_queue.correctCharge(settled->demand.caller, runTime - settled->estimate);
+    if (result == AttemptResult::Succeeded) {
+        m_estimator.observe(settled->demand.caller, settled->demand.declaredRunTime, runTime);
+    }
+}
+
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::adopt(const TaskDemand &task, NodeId worker, Instant now)
+{
+    m_lastCall = now;
+    m_accounts.assign(worker, AccountedTask{ task, m_estimator.estimate(task.caller, task.declaredRunTime), now, now });
 }
 
-void Scheduler::adopt(const TaskDemand & /*task*/, NodeId worker, Instant /*now*/)
+template <PlacementPolicy Policy>
+std::vector<Placement> BasicScheduler<Policy>::straggling(Instant now)
 {
-    const auto found = m_workers.find(worker);
-    if (found != m_workers.end()) {
-        ++found->second.running;
+    m_lastCall = now;
+    findStalled(now);
+    std::vector<Placement> found;
+    for (const auto &[node, account] : m_accounts.all()) {
+        const bool hasQueue = account.assigned() > account.slots() && m_health.isStraggling(node);
+        if (!hasQueue || !hasOtherFreeSlot(node, now)) {
+            continue;
+        }
+        for (const TaskId &task : m_accounts.takeWithdrawable(node)) {
+            if (!m_retries.budget().spend(now)) {
+                return found;
+            }
+            found.push_back({ task, node });
+        }
     }
+    return found;
 }
 
-std::optional<Instant> Scheduler::nextWake() const
+template <PlacementPolicy Policy>
+std::optional<Instant> BasicScheduler<Policy>::nextWake() const
 {
-    std::optional<Instant> earliest;
-    for (const TaskDemand &waiting : m_queue) {
-        if (!earliest || waiting.startBy < *earliest) {
-            earliest = waiting.startBy;
+    std::optional<Instant> earliest = m_queue.earliestDeadline();
+    const auto consider = [&earliest](std::optional<Instant> moment) {
+        if (moment && (!earliest || *moment < *earliest)) {
+            earliest = moment;
         }
+    };
+    consider(m_retries.nextDue());
+    if (m_queue.size() > 0) {
+        consider(m_health.nextChange(m_lastCall));
     }
     return earliest;
 }
 
-std::size_t Scheduler::waiting() const noexcept
+template <PlacementPolicy Policy>
+std::size_t BasicScheduler<Policy>::waiting() const noexcept
 {
-    return m_queue.size();
+    return m_queue.size() + m_retries.size();
 }
 
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::releaseDelayed(Instant now)
+{
+    while (auto due = m_retries.takeDue(now, m_random)) {
+        const Duration estimate = m_estimator.estimate(due->first.caller, due->first.declaredRunTime);
+        m_queue.push(WaitingTask{ std::move(due->first), estimate, due->second });
+    }
+}
+
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::collectCandidates(Instant now)
+{
+    m_candidates.clear();
+    m_candidateAccounts.clear();
+    std::uint64_t usualSlots = 0;
+    for (const auto &[node, account] : m_accounts.all()) {
+        const std::uint32_t slots = account.slots();
+        if (slots == 0 || account.state().leaving) {
+            continue;
+        }
+        const auto standing = m_health.standing(node, now);
+        usualSlots += standing.slowdown > 1 || standing.allowance == 0 ? 0 : slots;
+        const std::uint32_t mostTasks = slots + (standing.slowdown > 1 ? 0 : m_rules.executorQueueDepth());
+        const bool takesMore = !Policy::bindsLate || account.assigned() < mostTasks;
+        if (takesMore && account.assigned() < standing.allowance) {
+            m_candidates.push_back(Candidate{ node, slots, account.assigned(), standing.slowdown, node == m_home });
+            m_candidateAccounts.push_back(&account);
+        }
+    }
+    m_drainTime = usualSlots == 0 ? Duration::max() : m_queue.work() / static_cast<Duration::rep>(usualSlots);
+}
+
+template <PlacementPolicy Policy>
+std::optional<std::size_t> BasicScheduler<Policy>::chooseWorker(const WaitingTask &task)
+{
+    m_fitting.clear();
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        const WorkerAccount &account = *m_candidateAccounts[index];
+        const bool fits = Policy::bindsLate ? account.fits(task.demand.need) : task.demand.need.fitsInto(account.state().capacity);
+        if (fits) {
+            m_fitting.push_back(m_candidates[index]);
+        }
+    }
+    const PlacementContext context{ task.demand.jobSize == 1, task.estimate, m_drainTime };
+    return m_policy.choose(m_fitting, context, m_random);
+}
+
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::findStalled(Instant now)
+{
+    if (now - m_stalledChecked < stalledCheckInterval) {
+        return;
+    }
+    m_stalledChecked = now;
+    const Duration limit = stalledFactor * m_estimator.mean();
+    for (const auto &[node, account] : m_accounts.all()) {
+        m_health.setStalled(node, isStalled(account, limit, now));
+    }
+}
+
+template <PlacementPolicy Policy>
+bool BasicScheduler<Policy>::hasOtherFreeSlot(NodeId worker, Instant now) const
+{
+    return std::any_of(m_accounts.all().begin(), m_accounts.all().end(), [&](const auto &item) {
+        const auto &[node, account] = item;
+        const auto standing = m_health.standing(node, now);
+        return node != worker && !account.state().leaving && standing.slowdown <= 1 && account.assigned() < std::min(account.slots(), standing.allowance);
+    });
+}
+
+template class BasicScheduler<LateBinding>;
+template class BasicScheduler<RandomChoice>;
+template class BasicScheduler<RoundRobin>;
+template class BasicScheduler<TwoChoices>;
+template class BasicScheduler<LeastLoaded>;
+
 } // namespace lagoonroute
