Policy driver with the bounds of the issue; no queue at executors by default

At 30 and 60 % late binding adds the hops only, up to p99.9.

A task bound to one worker waits while slots of others become free, which costs far more than the round trip of 2 ms.

--- /dev/null
+++ b/benchmarks/policy/workload.cpp
@@ -0,0 +1,103 @@
+#include "workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace lagoonroute::bench
+{
+
+namespace
+{
+
+constexpr double microsPerSecond = 1e6;
+constexpr double longShare = 0.03;
+constexpr double shortest = 0.05; // seconds
+constexpr double shortLimit = 1;
+constexpr double longStart = 2;
+constexpr double longLimit = 5;
+constexpr double meanWork = (1 - longShare) * (shortest + shortLimit) / 2 + longShare * (longStart + longLimit) / 2;
+constexpr std::uint32_t callers = 16;
+constexpr double burstInterval = 5; // seconds
+constexpr std::uint16_t burstTasks = 100;
+constexpr double largestError = 20;
+
+Duration seconds(double value)
+{
+    return Duration(static_cast<Duration::rep>(value * microsPerSecond));
+}
+
+/** Draws without the library's distributions, whose results differ between implementations. */
+class Draw
+{
+public:
+    explicit Draw(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    double uniform(double from, double to)
+    {
+        constexpr double scale = 0x1p-53;
+        constexpr int unusedBits = 11;
+        return from + (to - from) * (static_cast<double>(m_random() >> unusedBits) * scale);
+    }
+
+    double exponential(double mean)
+    {
+        return -mean * std::log(1 - uniform(0, 1));
+    }
+
+    Duration work()
+    {
+        const bool isLong = uniform(0, 1) < longShare;
+        return seconds(isLong ? uniform(longStart, longLimit) : uniform(shortest, shortLimit));
+    }
+
+private:
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+Deployment ndimbal()
+{
+    return { .name = "ndimbal", .hop = std::chrono::milliseconds(1) };
+}
+
+Deployment rackwise()
+{
+    return { .name = "rackwise", .hop = std::chrono::microseconds(500) };
+}
+
+std::vector<WorkItem> drawWorkload(const Deployment &deployment, const Scenario &scenario, std::size_t tasks, std::uint64_t seed)
+{
+    Draw draw(seed);
+    const double interval = meanWork / (scenario.load * deployment.workers * deployment.slots);
+    std::vector<WorkItem> items;
+    items.reserve(tasks);
+    double now = 0;
+    double nextBurst = burstInterval;
+    std::uint32_t job = 0;
+    const auto add = [&](std::uint32_t caller, std::uint16_t jobSize) {
+        const Duration work = draw.work();
+        const double error = scenario.wrongDeclarations ? std::exp(draw.uniform(-1, 1) * std::log(largestError)) : 1;
+        const Duration declared(static_cast<Duration::rep>(static_cast<double>(work.count()) * error));
+        items.push_back(WorkItem{ job, Instant(seconds(now)), work, declared, caller, jobSize });
+    };
+    while (items.size() < tasks) {
+        now += draw.exponential(interval);
+        if (scenario.bursts && now >= nextBurst) {
+            nextBurst += burstInterval;
+            for (std::uint16_t index = 0; index < burstTasks; ++index) {
+                add(callers, burstTasks);
+            }
+            ++job;
+        }
+        add(static_cast<std::uint32_t>(draw.uniform(0, callers)), 1);
+        ++job;
+    }
+    return items;
+}
+
+} // namespace lagoonroute::bench
--- /dev/null
+++ b/benchmarks/tests/policyboundstest.cpp
@@ -0,0 +1,69 @@
+#include "centralqueue.h"
+#include "policyrun.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonroute;
+using namespace lagoonroute::bench;
+
+namespace
+{
+
+constexpr std::size_t tasks = 200'000;
+constexpr std::uint64_t seeds[] = { 1, 2, 3, 4 };
+
+RunResult runDefault(const Deployment &deployment, const Scenario &scenario, const std::vector<WorkItem> &items)
+{
+    return PolicyRun<LateBinding>(deployment, scenario, items, ServiceRules::Builder("bench").build()).run("default");
+}
+
+/** Calls check(deployment, items, result) for both users and every seed. */
+template <typename Check>
+void forEachRun(const Scenario &scenario, const Check &check)
+{
+    for (const Deployment &deployment : { ndimbal(), rackwise() }) {
+        for (const std::uint64_t seed : seeds) {
+            const auto items = drawWorkload(deployment, scenario, tasks, seed);
+            BOOST_TEST_CONTEXT(deployment.name << ", load " << scenario.load << ", seed " << seed)
+            {
+                check(deployment, items, runDefault(deployment, scenario, items));
+            }
+        }
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PolicyBoundsTest)
+
+BOOST_AUTO_TEST_CASE(LowAndMediumLoadAddOnlyTheHops)
+{
+    for (const double load : { 0.3, 0.6 }) {
+        forEachRun({ .load = load }, [](const Deployment &, const auto &, const RunResult &result) {
+            BOOST_TEST(result.failedTasks + result.refusedJobs == 0U);
+            BOOST_TEST(Percentiles::of(result.beyondHops).p999.count() <= 1000);
+        });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(HighLoadStaysNearTheCentralQueue)
+{
+    forEachRun({ .load = 0.9 }, [](const Deployment &deployment, const auto &items, const RunResult &result) {
+        const Percentiles ideal = Percentiles::of(runCentralQueue(deployment, items).added);
+        const Percentiles added = Percentiles::of(result.added);
+        BOOST_TEST(result.failedTasks + result.refusedJobs == 0U);
+        BOOST_TEST(Percentiles::of(result.beyondHops).p50.count() == ideal.p50.count());
+        BOOST_TEST(static_cast<double>(added.p99.count()) <= 1.05 * static_cast<double>(ideal.p99.count()));
+        BOOST_TEST(static_cast<double>(added.p999.count()) <= 1.25 * static_cast<double>(ideal.p999.count()));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(WastedMessagesStayBelowOneInAHundredTasks)
+{
+    for (const double load : { 0.3, 0.6, 0.9 }) {
+        forEachRun({ .load = load }, [](const Deployment &, const auto &, const RunResult &result) { BOOST_TEST(result.wastedPerTask() <= 0.01); });
+    }
+    forEachRun({ .load = 0.01 }, [](const Deployment &, const auto &, const RunResult &result) { BOOST_TEST(result.wastedMessages == 0U); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
