--- a/include/lagoonroute/placement/fairqueue.h
+++ b/include/lagoonroute/placement/fairqueue.h
@@ -98,7 +98,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace lagoonroute
--- a/modules/placement/fairqueue.cpp
+++ b/modules/placement/fairqueue.cpp
@@ -210,7 +210,7 @@
 }
 
 FairQueue::FairQueue(Options options)
-    : d(std::make_unique<Private>(options))
+    : m_private(std::make_unique<Private>(options))
 {
 }
 
@@ -220,67 +220,67 @@
 
 void FairQueue::setWeights(std::map<std::string, std::uint32_t> weights, std::uint32_t defaultWeight)
 {
-    d->weights = std::move(weights);
-    d->defaultWeight = defaultWeight;
-    d->activeWeight = 0;
-    for (auto &[name, caller] : d->callers) {
-        caller.weight = d->weightOf(name);
-        d->activeWeight += caller.waiting > 0 ? caller.weight : 0;
+    m_private->weights = std::move(weights);
+    m_private->defaultWeight = defaultWeight;
+    m_private->activeWeight = 0;
+    for (auto &[name, caller] : m_private->callers) {
+        caller.weight = m_private->weightOf(name);
+        m_private->activeWeight += caller.waiting > 0 ? caller.weight : 0;
     }
 }
 
 void FairQueue::setSlots(std::uint32_t slots)
 {
-    d->slots = std::max(1U, slots);
+    m_private->slots = std::max(1U, slots);
 }
 
 void FairQueue::push(WaitingTask task)
 {
-    d->forgetIdleCallers();
-    Caller &caller = d->callerNamed(task.demand.caller);
-    const Instant arrival = std::min(task.enqueued, d->lastTag + d->options.tolerance);
-    const Duration sizeDelay(static_cast<Duration::rep>(d->options.sizeWeight * static_cast<double>(task.estimate.count())));
-    const Instant key = std::min(arrival + sizeDelay, task.demand.startBy - task.estimate - d->options.patience);
+    m_private->forgetIdleCallers();
+    Caller &caller = m_private->callerNamed(task.demand.caller);
+    const Instant arrival = std::min(task.enqueued, m_private->lastTag + m_private->options.tolerance);
+    const Duration sizeDelay(static_cast<Duration::rep>(m_private->options.sizeWeight * static_cast<double>(task.estimate.count())));
+    const Instant key = std::min(arrival + sizeDelay, task.demand.startBy - task.estimate - m_private->options.patience);
     const Duration estimate = task.estimate;
-    if (!d->entries.insert(Entry{ std::move(task), &caller, key, ++d->lastSequence }).second) {
+    if (!m_private->entries.insert(Entry{ std::move(task), &caller, key, ++m_private->lastSequence }).second) {
         return;
     }
     if (caller.waiting == 0) {
         caller.clock = arrival;
-        d->activeWeight += caller.weight;
+        m_private->activeWeight += caller.weight;
     }
     ++caller.waiting;
     caller.work += estimate;
-    d->work += estimate;
-    d->reorder(caller);
+    m_private->work += estimate;
+    m_private->reorder(caller);
 }
 
 std::optional<WaitingTask> FairQueue::remove(const TaskId &task)
 {
-    const auto found = d->entries.get<ByTask>().find(task);
-    if (found == d->entries.get<ByTask>().end()) {
+    const auto found = m_private->entries.get<ByTask>().find(task);
+    if (found == m_private->entries.get<ByTask>().end()) {
         return std::nullopt;
     }
-    return d->take(d->entries.project<ByOrder>(found));
+    return m_private->take(m_private->entries.project<ByOrder>(found));
 }
 
 std::optional<WaitingTask> FairQueue::takeFirst(const Accepts &accepts)
 {
-    if (d->entries.empty()) {
+    if (m_private->entries.empty()) {
         return std::nullopt;
     }
-    const auto &order = d->entries.get<ByOrder>();
+    const auto &order = m_private->entries.get<ByOrder>();
     std::size_t scanned = 0;
-    for (const CallerOrder &callerOrder : d->ready) {
+    for (const CallerOrder &callerOrder : m_private->ready) {
         const std::uint64_t number = callerOrder.second;
-        const std::size_t callerLimit = scanned + std::max<std::size_t>(1, d->options.scanLimit / 4);
+        const std::size_t callerLimit = scanned + std::max<std::size_t>(1, m_private->options.scanLimit / 4);
         auto position = order.lower_bound(std::tuple(number, Instant::min(), std::uint64_t{ 0 }));
         for (; position != order.end() && position->caller->number == number && scanned < callerLimit; ++position, ++scanned) {
             if (accepts(position->waiting)) {
-                return d->takeCharged(position);
+                return m_private->takeCharged(position);
             }
         }
-        if (scanned >= d->options.scanLimit) {
+        if (scanned >= m_private->options.scanLimit) {
             break;
         }
     }
@@ -289,63 +289,63 @@
 
 void FairQueue::correctCharge(const std::string &caller, Duration difference)
 {
-    const auto found = d->callers.find(caller);
-    if (found == d->callers.end()) {
+    const auto found = m_private->callers.find(caller);
+    if (found == m_private->callers.end()) {
         return;
     }
-    found->second.clock += d->shareTime(found->second, difference);
-    d->reorder(found->second);
+    found->second.clock += m_private->shareTime(found->second, difference);
+    m_private->reorder(found->second);
 }
 
 std::vector<TaskId> FairQueue::takeExpired(Instant now)
 {
     std::vector<TaskId> expired;
-    auto &byDeadline = d->entries.get<ByDeadline>();
+    auto &byDeadline = m_private->entries.get<ByDeadline>();
     while (!byDeadline.empty() && byDeadline.begin()->startBy() <= now) {
         expired.push_back(byDeadline.begin()->task());
-        d->take(d->entries.project<ByOrder>(byDeadline.begin()));
+        m_private->take(m_private->entries.project<ByOrder>(byDeadline.begin()));
     }
     return expired;
 }
 
 std::optional<Instant> FairQueue::earliestDeadline() const
 {
-    const auto &byDeadline = d->entries.get<ByDeadline>();
+    const auto &byDeadline = m_private->entries.get<ByDeadline>();
     return byDeadline.empty() ? std::nullopt : std::optional(byDeadline.begin()->startBy());
 }
 
 std::size_t FairQueue::size() const noexcept
 {
-    return d->entries.size();
+    return m_private->entries.size();
 }
 
 Duration FairQueue::work() const noexcept
 {
-    return d->work;
+    return m_private->work;
 }
 
 std::size_t FairQueue::sizeOf(const std::string &caller) const
 {
-    const Caller *found = d->findCaller(caller);
+    const Caller *found = m_private->findCaller(caller);
     return found == nullptr ? 0 : found->waiting;
 }
 
 Duration FairQueue::workOf(const std::string &caller) const
 {
-    const Caller *found = d->findCaller(caller);
+    const Caller *found = m_private->findCaller(caller);
     return found == nullptr ? Duration{ 0 } : found->work;
 }
 
 double FairQueue::shareOf(const std::string &caller) const
 {
-    const double weight = d->weightOf(caller);
-    return weight / (weight + d->weightBeside(caller));
+    const double weight = m_private->weightOf(caller);
+    return weight / (weight + m_private->weightBeside(caller));
 }
 
 double FairQueue::boundedShareOf(const std::string &caller) const
 {
-    const double weight = d->weightOf(caller);
-    return weight / (weight + d->weightBeside(caller) + d->defaultWeight);
+    const double weight = m_private->weightOf(caller);
+    return weight / (weight + m_private->weightBeside(caller) + m_private->defaultWeight);
 }
 
 } // namespace lagoonroute
