Views: homes and mirrors of a cell, changed by compare-and-swap only

Cause: views came from settings and nobody replaced a dead home or mirror. ShardView names the lives of home and mirror, so that a restarted process is not taken for the one that held the records. Ruled out: a takeover by whoever finds the pair dead.

--- a/include/lagoonroute/membership/membership.h
+++ b/include/lagoonroute/membership/membership.h
@@ -8,3 +8,4 @@
 
 #include <lagoonroute/membership/member.h>
 #include <lagoonroute/membership/membershipcore.h>
+#include <lagoonroute/membership/viewcore.h>
--- /dev/null
+++ b/include/lagoonroute/membership/viewtable.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <lagoonroute/base/shardview.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** The views of a cell as the one value in the platform's store, with the marks of the latest writes. */
+struct StoredViews
+{
+    std::map<ShardKey, ShardView> views;
+    std::vector<std::string> marks; /**< Newest last. */
+
+    auto operator<=>(const StoredViews &) const = default;
+};
+
+/** Returns the value for the store: JSON. */
+std::string encodeViews(const StoredViews &stored);
+
+/** Returns the views in a value of the store; an empty value has none. Throws InvalidDocument when it is malformed. */
+StoredViews decodeViews(std::string_view value);
+
+/** Returns the store's key for the views of a cell. */
+std::string viewsKey(std::string_view cell);
+
+} // namespace lagoonroute
--- a/modules/membership/gossipmessage.cpp
+++ b/modules/membership/gossipmessage.cpp
@@ -78,7 +78,7 @@
 
 std::size_t encodedSize(const ShardView &view)
 {
-    return sizeOf(view.key.service) + sizeof(view.key.shard) + (3 * numberBytes) + enumBytes;
+    return sizeOf(view.key.service) + sizeof(view.key.shard) + (5 * numberBytes) + enumBytes;
 }
 
 std::size_t encodedSize(const MemberNotice & /*notice*/)
--- a/modules/membership/tests/cellfixture.h
+++ b/modules/membership/tests/cellfixture.h
@@ -159,6 +159,11 @@
 
     std::uint64_t largestDatagram = 0;
 
+    /** Hooks for more cores in each process: a report of the membership core, the next instant, and the work due. */
+    std::function<void(const NodeAddress &, const MembershipAction &)> onReport = [](const auto &, const auto &) {};
+    std::function<Instant()> nextOther = [] { return Instant::max(); };
+    std::function<void()> stepOther = [] {};
+
 private:
     struct InFlight
     {
@@ -184,6 +189,7 @@
         if (const auto *gone = std::get_if<MemberGone>(&action)) {
             process.believed.erase(gone->member.id);
         }
+        onReport(process.self.address, action);
         process.reported.push_back(std::move(action));
     }
 
@@ -201,7 +207,7 @@
 
     Instant nextInstant()
     {
-        Instant next = Instant::max();
+        Instant next = nextOther();
         if (!m_network.empty()) {
             next = m_network.begin()->first;
         }
@@ -228,6 +234,7 @@
                 inject(address, TimeElapsed{});
             }
         }
+        stepOther();
     }
 
     std::mt19937_64 m_random;
--- a/modules/transport/messageserialization.h
+++ b/modules/transport/messageserialization.h
@@ -74,7 +74,7 @@
 template <class Archive>
 void serialize(Archive &archive, ShardView &value)
 {
-    archive(value.key, value.epoch, value.home, value.mirror, value.recordsKept);
+    archive(value.key, value.epoch, value.home, value.mirror, value.recordsKept, value.homeLife, value.mirrorLife);
 }
 
 template <class Archive>
