Processes find one another by gossip

Cause: members and workers stood in the settings, so no process could come, go or move. Silence withdraws an offer; a suspected or leaving worker takes no new work; only the end of its life makes it gone. Settings: contacts, advertise, cell, offerLifetimeMs; members are read as contacts. Views still stand in the settings until the store is wired.

--- a/include/lagoonroute/app/settings.h
+++ b/include/lagoonroute/app/settings.h
@@ -15,13 +15,16 @@
 {
     std::string node; /**< Unique name of the process. */
     NodeAddress peer; /**< Where other processes of the system reach it. */
+    NodeAddress advertise; /**< Where others are told to reach it, when that differs from `peer`. */
     NodeAddress http; /**< Where callers, the upstream and operators reach it. */
     std::string zone; /**< Availability zone. */
     std::string rack; /**< Rack within the availability zone. */
     std::string logLevel = "info";
     Duration withdrawTime = std::chrono::seconds(2); /**< Of a planned stop: between not ready and the refusal of new work. */
     Duration drainLimit = std::chrono::seconds(30); /**< Of a planned stop: after it, work that is left is cut. */
-    std::vector<Member> members; /**< Known from the start. */
+    std::string cell = "default"; /**< Name of the group of processes that gossip with one another. */
+    Duration offerLifetime = std::chrono::seconds(10); /**< Time for which an announcement of the upstream holds. */
+    std::vector<NodeAddress> contacts; /**< Peer addresses of some other processes. */
     std::vector<ServiceRules> services; /**< Known from the start. */
     std::vector<ShardView> views; /**< Known from the start. */
 
--- a/modules/app/agentnode.cpp
+++ b/modules/app/agentnode.cpp
@@ -1,12 +1,12 @@
 #include <lagoonroute/app/agentnode.h>
 
 #include "agentobserver.h"
+#include "agentprocess.h"
+#include "controlports.h"
 #include "decisionthread.h"
 #include "nodebase.h"
 
-#include <lagoonroute/dispatch/agentcore.h>
 #include <lagoonroute/http/upstreamgateway.h>
-#include <lagoonroute/transport/peertransport.h>
 
 namespace lagoonroute
 {
@@ -18,42 +18,31 @@
 class AgentPorts
 {
 public:
-    AgentPorts(const Settings &settings, Incarnation incarnation, const OperatorPages &pages, WakeSignal &signal)
-        : m_peers(PeerTransport::Options().withSelf(NodeId::fromName(settings.node), incarnation).withAddress(settings.peer), signal)
-        , m_upstream(HttpServer::Options().withAddress(settings.http), pages, signal)
+    AgentPorts(const Settings &settings, NodeBase &base, WakeSignal &signal)
+        : m_control(settings, base.incarnation(), signal)
+        , m_upstream(HttpServer::Options().withAddress(settings.http), base.pages(), signal)
     {
-        for (const Member &member : settings.members) {
-            m_peers.setPeer(member.id, member.address);
-        }
     }
 
     template <typename Consumer>
     void drain(Consumer &&consume)
     {
-        m_peers.drain([&consume](PeerEvent &&event) {
-            if (auto *received = std::get_if<MessageReceived>(&event)) {
-                consume(AgentEvent(std::move(*received)));
-            } else {
-                consume(AgentEvent(std::get<ConnectionLost>(event)));
-            }
-        });
-        m_upstream.drain(consume);
+        m_control.drain<AgentEvent>(consume);
+        m_upstream.drain([&consume](AgentEvent &&event) { consume(AgentProcess::Event(std::move(event))); });
     }
 
-    void perform(AgentAction &&action)
+    void perform(AgentProcess::Action &&action)
     {
-        if (auto *send = std::get_if<SendMessage>(&action)) {
-            m_peers.send(send->to, std::move(send->message));
-        } else if (auto *call = std::get_if<CallUpstream>(&action)) {
-            m_upstream.call(std::move(*call));
-        } else if (const auto *stop = std::get_if<StopUpstreamTask>(&action)) {
-            m_upstream.stop(*stop);
+        if (auto *control = std::get_if<ControlAction>(&action)) {
+            m_control.perform(std::move(*control));
+        } else {
+            performAgentAction(std::get<AgentAction>(std::move(action)));
         }
     }
 
     [[nodiscard]] NodeAddress peerAddress() const
     {
-        return m_peers.address();
+        return m_control.peerAddress();
     }
 
     [[nodiscard]] NodeAddress httpAddress() const
@@ -62,7 +51,18 @@
     }
 
 private:
-    PeerTransport m_peers;
+    void performAgentAction(AgentAction &&action)
+    {
+        if (auto *send = std::get_if<SendMessage>(&action)) {
+            m_control.send(std::move(*send));
+        } else if (auto *call = std::get_if<CallUpstream>(&action)) {
+            m_upstream.call(std::move(*call));
+        } else if (const auto *stop = std::get_if<StopUpstreamTask>(&action)) {
+            m_upstream.stop(*stop);
+        }
+    }
+
+    ControlPorts m_control;
     UpstreamGateway m_upstream;
 };
 
@@ -74,21 +74,20 @@
     explicit Implementation(const Settings &settings)
         : m_base(settings.node)
         , m_observer(m_base.metrics())
-        , m_core(NodeId::fromName(settings.node), NodeId::fromName(settings.node).value)
-        , m_ports(settings, m_base.incarnation(), m_base.pages(), m_signal)
+        , m_core(controlOptionsOf(settings, NodeRole::Agent, m_base.incarnation()), settings.offerLifetime)
+        , m_ports(settings, m_base, m_signal)
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
+        m_thread.inject(AgentEvent(WallClockRead{ wallNow() }));
         for (const ServiceRules &rules : settings.services) {
-            m_thread.inject(RulesChanged{ rules });
-        }
-        for (const Member &member : settings.members) {
-            injectOffers(member);
+            m_thread.inject(AgentEvent(RulesChanged{ rules }));
         }
         for (const ShardView &view : settings.views) {
-            m_thread.inject(ViewChanged{ view });
+            m_thread.inject(AgentEvent(ViewChanged{ view }));
             // Views of the settings never change, so no other home can replace this one.
-            m_thread.inject(StartsAllowed{ view.key });
+            m_thread.inject(AgentEvent(StartsAllowed{ view.key }));
         }
+        m_thread.inject(ControlEvent(ContactsKnown{ settings.contacts }));
         m_thread.start();
     }
 
@@ -99,7 +98,7 @@
 
     void drain()
     {
-        m_thread.inject(StopRequested{});
+        m_thread.inject(AgentEvent(StopRequested{}));
     }
 
     [[nodiscard]] bool isDrained() const
@@ -113,26 +112,12 @@
     }
 
 private:
-    void injectOffers(const Member &member)
-    {
-        for (const ServiceOffer &offer : member.offers) {
-            WorkerState worker{ .node = member.id,
-                                .incarnation = member.incarnation,
-                                .zone = member.zone,
-                                .rack = member.rack,
-                                .slots = offer.slots,
-                                .connections = offer.connections,
-                                .capacity = offer.capacity };
-            m_thread.inject(WorkerChanged{ offer.service, std::move(worker) });
-        }
-    }
-
     NodeBase m_base;
     WakeSignal m_signal;
     AgentObserver m_observer;
-    AgentCore m_core;
+    AgentProcess m_core;
     AgentPorts m_ports;
-    DecisionThread<AgentCore, AgentEvent, AgentAction, AgentPorts, AgentObserver> m_thread;
+    DecisionThread<AgentProcess, AgentPorts, AgentObserver> m_thread;
 };
 
 AgentNode::AgentNode(const Settings &settings)
--- a/modules/app/agentobserver.cpp
+++ b/modules/app/agentobserver.cpp
@@ -10,25 +10,38 @@
 AgentObserver::AgentObserver(MetricsRegistry &metrics)
     : m_metrics(metrics)
     , m_taskSeconds(metrics.summary("lagoonroute_task_seconds"))
+    , m_control(metrics)
 {
 }
 
-void AgentObserver::observe(const AgentEvent &event, Instant /*now*/)
+void AgentObserver::observe(const AgentProcess::Event &event, Instant /*now*/)
+{
+    if (const auto *agentEvent = std::get_if<AgentEvent>(&event)) {
+        observeEvent(*agentEvent);
+    }
+}
+
+void AgentObserver::observe(const AgentProcess::Action &action, Instant /*now*/)
+{
+    if (const auto *agentAction = std::get_if<AgentAction>(&action)) {
+        observeAction(*agentAction);
+    } else {
+        m_control.observe(std::get<ControlAction>(action));
+    }
+}
+
+void AgentObserver::observeEvent(const AgentEvent &event)
 {
     if (const auto *replied = std::get_if<UpstreamReplied>(&event)) {
         observeEnd(replied->task, replied->result.status < 300 ? Reason::None : Reason::UpstreamError, replied->runTime);
     } else if (const auto *broke = std::get_if<UpstreamBroke>(&event)) {
         observeEnd(broke->task, broke->reason, broke->runTime);
-    } else if (const auto *view = std::get_if<ViewChanged>(&event)) {
-        observeView(view->view);
-    } else if (const auto *gone = std::get_if<WorkerGone>(&event)) {
-        logLine(LogLevel::Warning, "worker gone", { { "service", gone->service }, { "worker", static_cast<std::int64_t>(gone->node.value) } });
     } else if (std::holds_alternative<ConnectionLost>(event)) {
         m_metrics.counter("lagoonroute_connections_lost_total").add();
     }
 }
 
-void AgentObserver::observe(const AgentAction &action, Instant /*now*/)
+void AgentObserver::observeAction(const AgentAction &action)
 {
     if (const auto *send = std::get_if<SendMessage>(&action)) {
         m_metrics.counter("lagoonroute_messages_sent_total", { { "type", std::string(messageName(send->message)) } }).add();
@@ -38,17 +51,6 @@
     }
 }
 
-void AgentObserver::observeView(const ShardView &view)
-{
-    m_metrics.gauge("lagoonroute_view_epoch", { { "service", view.key.service } }).set(static_cast<std::int64_t>(view.epoch));
-    logLine(LogLevel::Info,
-            "view changed",
-            { { "service", view.key.service },
-              { "epoch", static_cast<std::int64_t>(view.epoch) },
-              { "home", static_cast<std::int64_t>(view.home.value) },
-              { "mirror", static_cast<std::int64_t>(view.mirror.value) } });
-}
-
 void AgentObserver::observeEnd(const TaskId &task, Reason failure, Duration runTime)
 {
     m_taskSeconds.observe(runTime);
--- a/modules/app/agentobserver.h
+++ b/modules/app/agentobserver.h
@@ -1,6 +1,8 @@
 #pragma once
 
-#include <lagoonroute/dispatch/events.h>
+#include "agentprocess.h"
+#include "controlobserver.h"
+
 #include <lagoonroute/observation/metrics.h>
 
 namespace lagoonroute
@@ -14,17 +16,19 @@
     explicit AgentObserver(MetricsRegistry &metrics);
 
     /** Notes an event before the core handles it. */
-    void observe(const AgentEvent &event, Instant now);
+    void observe(const AgentProcess::Event &event, Instant now);
 
     /** Notes an action before it is carried out. */
-    void observe(const AgentAction &action, Instant now);
+    void observe(const AgentProcess::Action &action, Instant now);
 
 private:
-    void observeView(const ShardView &view);
+    void observeEvent(const AgentEvent &event);
+    void observeAction(const AgentAction &action);
     void observeEnd(const TaskId &task, Reason failure, Duration runTime);
 
     MetricsRegistry &m_metrics;
     DurationSummary &m_taskSeconds;
+    ControlObserver m_control;
 };
 
 } // namespace lagoonroute
--- /dev/null
+++ b/modules/app/controlobserver.cpp
@@ -0,0 +1,60 @@
+#include "controlobserver.h"
+
+#include <lagoonroute/observation/log.h>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+std::int64_t number(NodeId node)
+{
+    return static_cast<std::int64_t>(node.value);
+}
+
+} // namespace
+
+ControlObserver::ControlObserver(MetricsRegistry &metrics)
+    : m_metrics(metrics)
+    , m_datagrams(metrics.counter("lagoonroute_gossip_datagrams_sent_total"))
+    , m_storeCalls(metrics.counter("lagoonroute_store_calls_total"))
+{
+}
+
+void ControlObserver::observe(const ControlAction &action)
+{
+    if (std::holds_alternative<SendDatagram>(action)) {
+        m_datagrams.add();
+    } else if (std::holds_alternative<StoreCall>(action)) {
+        m_storeCalls.add();
+    } else if (const auto *changed = std::get_if<ViewChanged>(&action)) {
+        observeView(changed->view, "view changed");
+    } else if (const auto *proposed = std::get_if<ViewProposed>(&action)) {
+        observeView(proposed->view, "view proposed");
+    } else if (const auto *worker = std::get_if<WorkerChanged>(&action)) {
+        logLine(LogLevel::Info,
+                "worker changed",
+                { { "service", worker->service },
+                  { "worker", number(worker->worker.node) },
+                  { "slots", worker->worker.slots },
+                  { "leaving", worker->worker.leaving ? 1 : 0 } });
+    } else if (const auto *gone = std::get_if<WorkerGone>(&action)) {
+        logLine(LogLevel::Warning, "worker gone", { { "service", gone->service }, { "worker", number(gone->node) } });
+    } else if (const auto *rules = std::get_if<RulesChanged>(&action)) {
+        logLine(LogLevel::Info, "rules in force", { { "service", rules->rules.name() } });
+    }
+}
+
+void ControlObserver::observeView(const ShardView &view, const char *event)
+{
+    m_metrics.gauge("lagoonroute_view_epoch", { { "service", view.key.service } }).set(static_cast<std::int64_t>(view.epoch));
+    logLine(LogLevel::Info,
+            event,
+            { { "service", view.key.service },
+              { "epoch", static_cast<std::int64_t>(view.epoch) },
+              { "home", number(view.home) },
+              { "mirror", number(view.mirror) } });
+}
+
+} // namespace lagoonroute
--- a/modules/app/decisionthread.h
+++ b/modules/app/decisionthread.h
@@ -15,26 +15,29 @@
 {
 
 /** A core that decides: pure, fed with events and the time. */
-template <typename Core, typename Event, typename Action>
-concept DecisionCore = requires(Core core, const Event &event, Instant now, std::vector<Action> &actions)
+template <typename Core>
+concept DecisionCore = requires(Core core, const Core constCore, const typename Core::Event &event, Instant now, std::vector<typename Core::Action> &actions)
 {
     core.handle(event, now, actions);
     {
-        core.nextWake()
+        constCore.nextWake()
         } -> std::convertible_to<std::optional<Instant>>;
+    {
+        constCore.isDrained()
+        } -> std::convertible_to<bool>;
 };
 
 /** Adapters that bring events to a core and carry out its actions. */
-template <typename Ports, typename Event, typename Action>
-concept DecisionPorts = requires(Ports ports, Action action)
+template <typename Ports, typename Core>
+concept DecisionPorts = requires(Ports ports, typename Core::Action action)
 {
-    ports.drain([](Event &&) {});
+    ports.drain([](typename Core::Event &&) {});
     ports.perform(std::move(action));
 };
 
 /** Watches what a core hears and decides, for logs and metrics. */
-template <typename Observer, typename Event, typename Action>
-concept DecisionObserver = requires(Observer observer, const Event &event, const Action &action, Instant now)
+template <typename Observer, typename Core>
+concept DecisionObserver = requires(Observer observer, const typename Core::Event &event, const typename Core::Action &action, Instant now)
 {
     observer.observe(event, now);
     observer.observe(action, now);
@@ -45,11 +48,13 @@
  *
  * It waits for events of its ports or for the time the core asked for, whichever comes first.
  */
-template <typename Core, typename Event, typename Action, typename Ports, typename Observer>
-requires DecisionCore<Core, Event, Action> && DecisionPorts<Ports, Event, Action> && DecisionObserver<Observer, Event, Action>
+template <DecisionCore Core, DecisionPorts<Core> Ports, DecisionObserver<Core> Observer>
 class DecisionThread
 {
 public:
+    using Event = typename Core::Event;
+    using Action = typename Core::Action;
+
     /** Creates the thread, not started. All references must outlive it; ports notify `signal`. */
     DecisionThread(Core &core, Ports &ports, Observer &observer, WakeSignal &signal)
         : m_core(core)
@@ -112,13 +117,9 @@
             m_ports.drain(decide);
             const auto wake = m_core.nextWake();
             if (wake && *wake <= MonotonicClock::now()) {
-                decide(TimeElapsed{});
-            }
-            if constexpr (requires { m_core.isDrained(); }) {
-                m_drained = m_core.isDrained();
-            } else {
-                m_drained = true;
+                decide(Core::elapsed());
             }
+            m_drained = m_core.isDrained();
             m_signal.waitUntil(m_core.nextWake());
         }
     }
--- a/modules/app/entrynode.cpp
+++ b/modules/app/entrynode.cpp
@@ -1,12 +1,13 @@
 #include <lagoonroute/app/entrynode.h>
 
+#include "controlports.h"
 #include "decisionthread.h"
 #include "entryobserver.h"
 #include "nodebase.h"
+#include "processcore.h"
 
 #include <lagoonroute/dispatch/entrycore.h>
 #include <lagoonroute/http/entryapi.h>
-#include <lagoonroute/transport/peertransport.h>
 
 namespace lagoonroute
 {
@@ -18,40 +19,39 @@
 class EntryPorts
 {
 public:
-    EntryPorts(const Settings &settings, Incarnation incarnation, const OperatorPages &pages, WakeSignal &signal)
-        : m_peers(PeerTransport::Options().withSelf(NodeId::fromName(settings.node), incarnation).withAddress(settings.peer), signal)
-        , m_callers(HttpServer::Options().withAddress(settings.http), pages, signal)
+    EntryPorts(const Settings &settings, NodeBase &base, WakeSignal &signal)
+        : m_control(settings, base.incarnation(), signal)
+        , m_callers(HttpServer::Options().withAddress(settings.http), base.pages(), signal)
     {
-        for (const Member &member : settings.members) {
-            m_peers.setPeer(member.id, member.address);
-        }
     }
 
     template <typename Consumer>
     void drain(Consumer &&consume)
     {
-        m_peers.drain([&consume](PeerEvent &&event) {
-            if (auto *received = std::get_if<MessageReceived>(&event)) {
-                consume(EntryEvent(std::move(*received)));
-            } else {
-                consume(EntryEvent(std::get<ConnectionLost>(event)));
-            }
-        });
-        m_callers.drain(consume);
+        m_control.drain<EntryEvent>(consume);
+        m_callers.drain([&consume](EntryEvent &&event) { consume(EntryProcess::Event(std::move(event))); });
     }
 
-    void perform(EntryAction &&action)
+    void perform(EntryProcess::Action &&action)
     {
-        if (auto *send = std::get_if<SendMessage>(&action)) {
-            m_peers.send(send->to, std::move(send->message));
-        } else if (auto *answer = std::get_if<AnswerCaller>(&action)) {
+        if (auto *control = std::get_if<ControlAction>(&action)) {
+            if (const auto *rules = std::get_if<RulesChanged>(control)) {
+                m_callers.setRules(rules->rules);
+            }
+            m_control.perform(std::move(*control));
+            return;
+        }
+        auto &entryAction = std::get<EntryAction>(action);
+        if (auto *send = std::get_if<SendMessage>(&entryAction)) {
+            m_control.send(std::move(*send));
+        } else if (auto *answer = std::get_if<AnswerCaller>(&entryAction)) {
             m_callers.answer(std::move(*answer));
         }
     }
 
     [[nodiscard]] NodeAddress peerAddress() const
     {
-        return m_peers.address();
+        return m_control.peerAddress();
     }
 
     [[nodiscard]] EntryApi &callers()
@@ -70,7 +70,7 @@
     }
 
 private:
-    PeerTransport m_peers;
+    ControlPorts m_control;
     EntryApi m_callers;
 };
 
@@ -82,17 +82,18 @@
     explicit Implementation(const Settings &settings)
         : m_base(settings.node)
         , m_observer(m_base.metrics())
-        , m_core(NodeId::fromName(settings.node), m_base.incarnation())
-        , m_ports(settings, m_base.incarnation(), m_base.pages(), m_signal)
+        , m_core(controlOptionsOf(settings, NodeRole::Entry, m_base.incarnation()), NodeId::fromName(settings.node), m_base.incarnation(), m_base.incarnation())
+        , m_ports(settings, m_base, m_signal)
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         for (const ServiceRules &rules : settings.services) {
             m_ports.callers().setRules(rules);
-            m_thread.inject(RulesChanged{ rules });
+            m_thread.inject(EntryEvent(RulesChanged{ rules }));
         }
         for (const ShardView &view : settings.views) {
-            m_thread.inject(ViewChanged{ view });
+            m_thread.inject(EntryEvent(ViewChanged{ view }));
         }
+        m_thread.inject(ControlEvent(ContactsKnown{ settings.contacts }));
         m_thread.start();
     }
 
@@ -103,7 +104,7 @@
 
     void drain()
     {
-        m_thread.inject(StopRequested{});
+        m_thread.inject(EntryEvent(StopRequested{}));
         m_ports.callers().closeAfterResponses();
     }
 
@@ -121,9 +122,9 @@
     NodeBase m_base;
     WakeSignal m_signal;
     EntryObserver m_observer;
-    EntryCore m_core;
+    EntryProcess m_core;
     EntryPorts m_ports;
-    DecisionThread<EntryCore, EntryEvent, EntryAction, EntryPorts, EntryObserver> m_thread;
+    DecisionThread<EntryProcess, EntryPorts, EntryObserver> m_thread;
 };
 
 EntryNode::EntryNode(const Settings &settings)
--- a/modules/app/entryobserver.cpp
+++ b/modules/app/entryobserver.cpp
@@ -9,10 +9,32 @@
 
 EntryObserver::EntryObserver(MetricsRegistry &metrics)
     : m_metrics(metrics)
+    , m_control(metrics)
 {
 }
 
-void EntryObserver::observe(const EntryEvent &event, Instant now)
+void EntryObserver::observe(const EntryProcess::Event &event, Instant now)
+{
+    if (const auto *entryEvent = std::get_if<EntryEvent>(&event)) {
+        observeEvent(*entryEvent, now);
+    }
+}
+
+void EntryObserver::observe(const EntryProcess::Action &action, Instant now)
+{
+    if (const auto *control = std::get_if<ControlAction>(&action)) {
+        m_control.observe(*control);
+        return;
+    }
+    const auto &entryAction = std::get<EntryAction>(action);
+    if (const auto *send = std::get_if<SendMessage>(&entryAction)) {
+        m_metrics.counter("lagoonroute_messages_sent_total", { { "type", std::string(messageName(send->message)) } }).add();
+    } else {
+        observeAnswer(std::get<AnswerCaller>(entryAction), now);
+    }
+}
+
+void EntryObserver::observeEvent(const EntryEvent &event, Instant now)
 {
     if (const auto *submitted = std::get_if<CallerSubmitted>(&event)) {
         m_open.insert_or_assign(submitted->request, OpenRequest{ submitted->key, submitted->content.service, now });
@@ -27,17 +49,6 @@
     } else if (const auto *left = std::get_if<CallerLeft>(&event)) {
         m_open.erase(left->request);
         m_metrics.counter("lagoonroute_callers_left_total").add();
-    } else if (const auto *view = std::get_if<ViewChanged>(&event)) {
-        m_metrics.gauge("lagoonroute_view_epoch", { { "service", view->view.key.service } }).set(static_cast<std::int64_t>(view->view.epoch));
-    }
-}
-
-void EntryObserver::observe(const EntryAction &action, Instant now)
-{
-    if (const auto *send = std::get_if<SendMessage>(&action)) {
-        m_metrics.counter("lagoonroute_messages_sent_total", { { "type", std::string(messageName(send->message)) } }).add();
-    } else {
-        observeAnswer(std::get<AnswerCaller>(action), now);
     }
 }
 
--- a/modules/app/entryobserver.h
+++ b/modules/app/entryobserver.h
@@ -1,6 +1,9 @@
 #pragma once
 
-#include <lagoonroute/dispatch/events.h>
+#include "controlobserver.h"
+#include "processcore.h"
+
+#include <lagoonroute/dispatch/entrycore.h>
 #include <lagoonroute/observation/metrics.h>
 
 #include <string>
@@ -9,6 +12,9 @@
 namespace lagoonroute
 {
 
+/** Everything that an entry decides. */
+using EntryProcess = ProcessCore<EntryCore, EntryEvent, EntryAction>;
+
 /** Logs and counts what an entry hears and decides. Used on the deciding thread only. */
 class EntryObserver
 {
@@ -17,10 +23,10 @@
     explicit EntryObserver(MetricsRegistry &metrics);
 
     /** Notes an event before the core handles it. */
-    void observe(const EntryEvent &event, Instant now);
+    void observe(const EntryProcess::Event &event, Instant now);
 
     /** Notes an action before it is carried out. */
-    void observe(const EntryAction &action, Instant now);
+    void observe(const EntryProcess::Action &action, Instant now);
 
 private:
     struct OpenRequest
@@ -30,9 +36,11 @@
         Instant since;
     };
 
+    void observeEvent(const EntryEvent &event, Instant now);
     void observeAnswer(const AnswerCaller &answer, Instant now);
 
     MetricsRegistry &m_metrics;
+    ControlObserver m_control;
     std::unordered_map<std::uint64_t, OpenRequest> m_open;
 };
 
--- a/modules/app/nodebase.cpp
+++ b/modules/app/nodebase.cpp
@@ -12,4 +12,9 @@
 {
 }
 
+WallTime wallNow()
+{
+    return std::chrono::time_point_cast<WallTime::duration>(std::chrono::system_clock::now());
+}
+
 } // namespace lagoonroute
--- a/modules/app/nodebase.h
+++ b/modules/app/nodebase.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lagoonroute/base/identifiers.h>
+#include <lagoonroute/base/time.h>
 #include <lagoonroute/http/operatorpages.h>
 #include <lagoonroute/observation/metrics.h>
 #include <lagoonroute/observation/nodestatus.h>
@@ -44,4 +45,7 @@
     OperatorPages m_pages;
 };
 
+/** The calendar time. */
+WallTime wallNow();
+
 } // namespace lagoonroute
--- a/modules/app/settings.cpp
+++ b/modules/app/settings.cpp
@@ -1,5 +1,6 @@
 #include <lagoonroute/app/settings.h>
 
+#include "addresstext.h"
 #include "filetext.h"
 
 #include <lagoonroute/base/errors.h>
@@ -74,22 +75,6 @@
     return NodeAddress{ text(object, "ip"), smallNumber(object, "port") };
 }
 
-Member memberOf(const json::object &object)
-{
-    Member member;
-    member.name = text(object, "node");
-    member.id = NodeId::fromName(member.name);
-    member.role = textOr(object, "role", "agent") == "entry" ? NodeRole::Entry : NodeRole::Agent;
-    member.address = addressOf(section(object, "peer"));
-    member.zone = textOr(object, "zone", "");
-    member.rack = textOr(object, "rack", "");
-    for (const json::value &offer : list(object, "offers")) {
-        const json::object &fields = elementOf(offer, "offers");
-        member.offers.push_back(ServiceOffer{ text(fields, "service"), smallNumber(fields, "slots"), smallNumber(fields, "connections"), {} });
-    }
-    return member;
-}
-
 ShardView viewOf(const json::object &object)
 {
     ShardView view;
@@ -133,8 +118,21 @@
         if (object.contains("drainLimitMs")) {
             settings.drainLimit = std::chrono::milliseconds(smallNumber(object, "drainLimitMs"));
         }
+        if (object.contains("offerLifetimeMs")) {
+            settings.offerLifetime = std::chrono::milliseconds(smallNumber(object, "offerLifetimeMs"));
+        }
+        if (object.contains("advertise")) {
+            settings.advertise = addressOf(section(object, "advertise"));
+        }
+        settings.cell = textOr(object, "cell", "default");
+        for (const json::value &contact : list(object, "contacts")) {
+            if (!contact.is_string()) {
+                throw InvalidDocument("each element of \"contacts\" must be a text such as 127.0.0.1:7400");
+            }
+            settings.contacts.push_back(addressFromText(std::string(contact.get_string())));
+        }
         for (const json::value &member : list(object, "members")) {
-            settings.members.push_back(memberOf(elementOf(member, "members")));
+            settings.contacts.push_back(addressOf(section(elementOf(member, "members"), "peer")));
         }
         for (const json::value &service : list(object, "services")) {
             settings.services.push_back(ServiceRules::Builder(lagoonroute::text(elementOf(service, "services"), "name")).build());
--- a/modules/app/solo.cpp
+++ b/modules/app/solo.cpp
@@ -19,24 +19,14 @@
 
 constexpr std::uint16_t slotsPerAgent = 8;
 
-Member agentMember(const Settings &settings, std::size_t index)
-{
-    Member member;
-    member.name = settings.node + "-agent-" + std::to_string(index + 1);
-    member.id = NodeId::fromName(member.name);
-    member.address = { settings.peer.ip, static_cast<std::uint16_t>(settings.peer.port + index + 1) };
-    for (const ServiceRules &rules : settings.services) {
-        member.offers.push_back(ServiceOffer{ rules.name(), slotsPerAgent, slotsPerAgent, {} });
-    }
-    return member;
-}
-
-Settings agentSettings(const Settings &shared, const Member &member, std::uint16_t httpPort)
+/** Returns the settings of the agent with the given number, from 1. */
+Settings agentSettings(const Settings &shared, std::size_t number)
 {
     Settings settings = shared;
-    settings.node = member.name;
-    settings.peer = member.address;
-    settings.http = { shared.http.ip, httpPort };
+    settings.node = shared.node + "-agent-" + std::to_string(number);
+    settings.rack = "rack-" + std::to_string(number);
+    settings.peer = { shared.peer.ip, static_cast<std::uint16_t>(shared.peer.port + number) };
+    settings.http = { shared.http.ip, static_cast<std::uint16_t>(shared.http.port + number) };
     return settings;
 }
 
@@ -45,19 +35,16 @@
 void runSolo(const Settings &settings, std::size_t agents)
 {
     Settings shared = settings;
-    shared.members.push_back(Member{ .id = NodeId::fromName(settings.node), .name = settings.node, .role = NodeRole::Entry, .address = settings.peer });
-    for (std::size_t index = 0; index < agents; ++index) {
-        shared.members.push_back(agentMember(settings, index));
-    }
+    shared.contacts.push_back(settings.peer);
+    const std::string firstAgent = agentSettings(shared, 1).node;
     for (const ServiceRules &rules : settings.services) {
-        shared.views.push_back(ShardView{ { rules.name(), 0 }, 1, shared.members.at(1).id, NodeId{} });
+        shared.views.push_back(ShardView{ { rules.name(), 0 }, 1, NodeId::fromName(firstAgent), NodeId{} });
     }
 
     std::vector<std::unique_ptr<AgentNode>> agentNodes;
     std::vector<std::unique_ptr<SampleUpstream>> upstreams;
-    for (std::size_t index = 0; index < agents; ++index) {
-        const auto httpPort = static_cast<std::uint16_t>(settings.http.port + index + 1);
-        agentNodes.push_back(std::make_unique<AgentNode>(agentSettings(shared, shared.members.at(index + 1), httpPort)));
+    for (std::size_t number = 1; number <= agents; ++number) {
+        agentNodes.push_back(std::make_unique<AgentNode>(agentSettings(shared, number)));
         upstreams.push_back(std::make_unique<SampleUpstream>(settings.http.ip));
         for (const ServiceRules &rules : settings.services) {
             upstreams.back()->announce(agentNodes.back()->httpAddress(), rules.name(), slotsPerAgent);
--- /dev/null
+++ b/modules/control/offerkeeper.cpp
@@ -0,0 +1,61 @@
+#include <lagoonroute/control/offerkeeper.h>
+
+namespace lagoonroute
+{
+
+OfferKeeper::OfferKeeper(Duration lifetime)
+    : m_lifetime(lifetime)
+{
+}
+
+bool OfferKeeper::announce(const UpstreamAnnounced &announcement, Instant now)
+{
+    const ServiceOffer offer{ announcement.service, announcement.slots, announcement.connections, announcement.capacity };
+    Announced &known = m_announced[announcement.service];
+    known.until = now + m_lifetime;
+    const bool changed = known.offer != offer;
+    known.offer = offer;
+    return changed;
+}
+
+bool OfferKeeper::withdraw(const std::string &service)
+{
+    return m_announced.erase(service) > 0;
+}
+
+std::vector<std::string> OfferKeeper::takeSilent(Instant now)
+{
+    std::vector<std::string> silent;
+    for (const auto &[service, announced] : m_announced) {
+        if (announced.until <= now) {
+            silent.push_back(service);
+        }
+    }
+    for (const std::string &service : silent) {
+        m_announced.erase(service);
+    }
+    return silent;
+}
+
+std::vector<ServiceOffer> OfferKeeper::offers() const
+{
+    std::vector<ServiceOffer> offers;
+    offers.reserve(m_announced.size());
+    for (const auto &[service, announced] : m_announced) {
+        offers.push_back(announced.offer);
+    }
+    return offers;
+}
+
+std::optional<Instant> OfferKeeper::nextWake() const
+{
+    std::optional<Instant> earliest;
+    for (const auto &[service, announced] : m_announced) {
+        if (!earliest || announced.until < *earliest) {
+            earliest = announced.until;
+        }
+    }
+    return earliest;
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/control/workertracker.cpp
@@ -0,0 +1,68 @@
+#include <lagoonroute/control/workertracker.h>
+
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+WorkerState workerOf(const Member &member, const ServiceOffer &offer)
+{
+    return WorkerState{ .node = member.id,
+                        .incarnation = member.incarnation,
+                        .zone = member.zone,
+                        .rack = member.rack,
+                        .slots = offer.slots,
+                        .connections = offer.connections,
+                        .capacity = offer.capacity,
+                        .leaving = member.status != MemberStatus::Alive };
+}
+
+} // namespace
+
+std::vector<WorkerNews> WorkerTracker::memberChanged(const Member &member)
+{
+    std::vector<WorkerNews> news;
+    Known &known = m_known[member.id];
+    if (known.incarnation != member.incarnation) {
+        for (const auto &[service, worker] : std::exchange(known.workers, {})) {
+            news.emplace_back(WorkerGone{ service, member.id, worker.incarnation });
+        }
+        known.incarnation = member.incarnation;
+    }
+    std::set<std::string> offered;
+    for (const ServiceOffer &offer : member.offers) {
+        offered.insert(offer.service);
+        WorkerState worker = workerOf(member, offer);
+        const auto [entry, isNew] = known.workers.try_emplace(offer.service, worker);
+        if (isNew || entry->second != worker) {
+            entry->second = worker;
+            news.emplace_back(WorkerChanged{ offer.service, std::move(worker) });
+        }
+    }
+    for (auto &[service, worker] : known.workers) {
+        if (!offered.contains(service) && !worker.leaving) {
+            worker.leaving = true;
+            news.emplace_back(WorkerChanged{ service, worker });
+        }
+    }
+    return news;
+}
+
+std::vector<WorkerNews> WorkerTracker::memberGone(const Member &member)
+{
+    std::vector<WorkerNews> news;
+    const auto found = m_known.find(member.id);
+    if (found == m_known.end() || found->second.incarnation != member.incarnation) {
+        return news;
+    }
+    for (const auto &[service, worker] : found->second.workers) {
+        news.emplace_back(WorkerGone{ service, member.id, worker.incarnation });
+    }
+    m_known.erase(found);
+    return news;
+}
+
+} // namespace lagoonroute
