A new revision is passed on through trees below the watchers

Change: watchers pass a new revision on through trees within their availability zone, without acknowledgments; gossip finds who was missed. Ruled out: the backup links. They need an acknowledgment for each message and don't cover a member that dies after its acknowledgment, which gossip does.

--- a/benchmarks/configurationbench.cpp
+++ b/benchmarks/configurationbench.cpp
@@ -1,6 +1,7 @@
 /*
- * How an accepted configuration reaches every process, under virtual time: the cores of this project (watchers, gossip of
- * revisions, questions to peers) against a delivery tree with backup links. Prints one line for each fleet; the
+ * How an accepted configuration reaches every process, under virtual time: the cores of this project as they run ("push":
+ * watchers pass it on, gossip and questions to peers fill the gaps), without passing on ("pull"), and a delivery tree with
+ * acknowledgments and backup links ("tree"). Prints one line for each fleet; the
  * exit code is 1 when a revision takes longer than the stated target.
  */
 
@@ -39,9 +40,9 @@
 }
 
 /** Runs the cores; the last `failed` processes are stopped just before each change, and no one has noticed. */
-Result runPull(std::size_t processes, std::size_t failed)
+Result runCores(std::size_t processes, std::size_t failed, std::size_t pushFanout)
 {
-    DistributionNetwork network(processes, zones, processes);
+    DistributionNetwork network(processes, zones, processes, ConfigurationCore::Options().withPushFanout(pushFanout));
     Result result;
     Instant published{};
     network.onAction = [&](std::size_t, const ConfigurationAction &action) {
@@ -114,7 +115,8 @@
     std::printf("%-6s %9s %7s %9s %9s %9s %10s %12s %7s\n", "way", "processes", "failed", "p50 ms", "p99 ms", "max ms", "messages", "store calls", "missed");
     for (const std::size_t processes : { 11U, 50U, 100U, 200U }) {
         for (const std::size_t failed : { std::size_t{ 0 }, processes / 10 }) {
-            isOnTarget &= report("pull", processes, failed, runPull(processes, failed));
+            isOnTarget &= report("push", processes, failed, runCores(processes, failed, ConfigurationCore::Options().pushFanout));
+            isOnTarget &= report("pull", processes, failed, runCores(processes, failed, 0));
             report("tree", processes, failed, runTree(processes, failed));
         }
     }
--- a/include/lagoonroute/configuration/configurationcore.h
+++ b/include/lagoonroute/configuration/configurationcore.h
@@ -20,7 +20,8 @@
     std::uint64_t malformed = 0; /**< Documents refused because they cannot be read or fail a check. */
     std::uint64_t lower = 0; /**< Documents refused because their revision is not above the one in force. */
     std::uint64_t asked = 0; /**< Questions to peers. */
-    std::uint64_t offered = 0; /**< Documents sent to peers. */
+    std::uint64_t offered = 0; /**< Documents sent to peers that asked. */
+    std::uint64_t pushed = 0; /**< Documents passed on unasked. */
     std::uint64_t unanswered = 0; /**< Questions to peers that got no answer in time. */
     std::uint64_t storeCalls = 0;
 
@@ -30,8 +31,9 @@
 /**
  * Decides which configuration is in force in one process and how it learns of newer ones.
  *
- * A few processes of each availability zone, the first live ones by rendezvous hash, watch the platform's store. The others see
- * by gossip that a peer has a higher revision and ask one such peer for it. Only a higher revision that passes every
+ * A few processes of each availability zone, the first live ones by rendezvous hash, watch the platform's store and are the roots of trees
+ * through which a new revision is passed on at once. Who is missed sees by gossip that a peer has a higher revision and asks one
+ * such peer for it. Only a higher revision that passes every
  * check is ever put in force. A starting process asks some peers first, and calls the store only when none answers.
  *
  * Pure: time and seed are passed in.
@@ -53,11 +55,13 @@
         Duration largestBackoff = std::chrono::seconds(10);
         Duration startupWait = std::chrono::seconds(2); /**< Before a starting process that got nothing from peers calls the store. */
         std::size_t startupAsks = 3; /**< Peers that a starting process asks at once. */
+        std::size_t pushFanout = 4; /**< Peers to which a process passes a new revision at once; 0 leaves it to gossip. */
         std::size_t offersPerSecond = 64; /**< Further questions within a second stay unanswered. */
 
         [[nodiscard]] Options withSelf(NodeId id, std::string zoneName) const;
         [[nodiscard]] Options withSeed(std::uint64_t value) const;
         [[nodiscard]] Options withWatchersPerZone(std::size_t count) const;
+        [[nodiscard]] Options withPushFanout(std::size_t count) const;
     };
 
     /** Creates the core of a process that starts. */
--- a/modules/configuration/configurationcore.cpp
+++ b/modules/configuration/configurationcore.cpp
@@ -2,6 +2,7 @@
 
 #include "appliedconfiguration.h"
 #include "configurationpull.h"
+#include "configurationpush.h"
 #include "configurationwatch.h"
 
 #include <algorithm>
@@ -32,6 +33,13 @@
     return copy;
 }
 
+ConfigurationCore::Options ConfigurationCore::Options::withPushFanout(std::size_t count) const
+{
+    Options copy = *this;
+    copy.pushFanout = count;
+    return copy;
+}
+
 class ConfigurationCore::Implementation
 {
 public:
@@ -39,6 +47,7 @@
         : options(chosen)
         , random(chosen.seed)
         , pull(chosen)
+        , push(chosen)
         , watch(chosen)
     {
     }
@@ -51,6 +60,7 @@
 
     void answer(NodeId from, const AskConfiguration &question, Instant now, std::vector<ConfigurationAction> &actions);
     void adoptOffer(NodeId from, const OfferConfiguration &offer, Instant now, std::vector<ConfigurationAction> &actions);
+    void passOn(std::vector<ConfigurationAction> &actions);
     void advance(Instant now, std::vector<ConfigurationAction> &actions);
 
     /** Whether a process that does not watch may read the store: it started a while ago and got nothing from peers. */
@@ -63,6 +73,7 @@
     SeededRandom random;
     AppliedConfiguration applied;
     ConfigurationPull pull;
+    ConfigurationPush push;
     ConfigurationWatch watch;
     ConfigurationCounts counts;
     std::optional<Instant> firstEvent;
@@ -74,6 +85,7 @@
 void ConfigurationCore::Implementation::take(const ConfigurationPeersChanged &event, Instant /*now*/, std::vector<ConfigurationAction> & /*actions*/)
 {
     pull.setPeers(event.peers);
+    push.setPeers(event.peers);
     watch.setPeers(event.peers);
 }
 
@@ -135,6 +147,16 @@
     }
 }
 
+void ConfigurationCore::Implementation::passOn(std::vector<ConfigurationAction> &actions)
+{
+    for (const NodeId child : push.children()) {
+        if (pull.seenAt(child) < applied.revision()) {
+            ++counts.pushed;
+            actions.emplace_back(SendConfigurationMessage{ child, OfferConfiguration{ applied.revision(), applied.document() } });
+        }
+    }
+}
+
 void ConfigurationCore::Implementation::advance(Instant now, std::vector<ConfigurationAction> &actions)
 {
     if (!firstEvent) {
@@ -155,7 +177,12 @@
 
 void ConfigurationCore::handle(const ConfigurationEvent &event, Instant now, std::vector<ConfigurationAction> &actions)
 {
+    const Revision before = revision();
     std::visit([&](const auto &typed) { m_implementation->take(typed, now, actions); }, event);
+    const bool isFirst = before == 0; // After a start the peers have it already, or learn it by gossip.
+    if (!isFirst && revision() > before) {
+        m_implementation->passOn(actions);
+    }
     m_implementation->advance(now, actions);
 }
 
--- a/modules/configuration/configurationpull.cpp
+++ b/modules/configuration/configurationpull.cpp
@@ -94,6 +94,12 @@
     return wake;
 }
 
+Revision ConfigurationPull::seenAt(NodeId peer) const
+{
+    const auto seen = m_seen.find(peer);
+    return seen == m_seen.end() ? 0 : seen->second;
+}
+
 Revision ConfigurationPull::highestSeen() const
 {
     Revision highest = 0;
--- a/modules/configuration/configurationpull.h
+++ b/modules/configuration/configurationpull.h
@@ -35,6 +35,9 @@
     /** Time at which advance() is due again. */
     [[nodiscard]] std::optional<Instant> nextWake() const;
 
+    /** Revision seen at a peer; 0 when none was. */
+    [[nodiscard]] Revision seenAt(NodeId peer) const;
+
     /** Highest revision seen at a live peer. */
     [[nodiscard]] Revision highestSeen() const;
 
--- a/modules/configuration/configurationwatch.cpp
+++ b/modules/configuration/configurationwatch.cpp
@@ -1,5 +1,7 @@
 #include "configurationwatch.h"
 
+#include "configurationranks.h"
+
 #include <lagoonroute/configuration/storedconfiguration.h>
 
 #include <algorithm>
@@ -7,17 +9,6 @@
 namespace lagoonroute
 {
 
-namespace
-{
-
-/** Rank of a process among those that could watch; lower ones watch. */
-std::uint64_t watcherRank(NodeId id)
-{
-    return Digest::of("configuration-watcher/" + std::to_string(id.value)).low;
-}
-
-} // namespace
-
 ConfigurationWatch::ConfigurationWatch(const ConfigurationCore::Options &options)
     : m_options(options)
     , m_pace(options.smallestBackoff, options.largestBackoff)
@@ -26,10 +17,9 @@
 
 void ConfigurationWatch::setPeers(const std::vector<ConfigurationPeer> &peers)
 {
-    const std::uint64_t ownRank = watcherRank(m_options.self);
-    const auto isBefore
-        = [&](const ConfigurationPeer &peer) { return peer.id != m_options.self && peer.zone == m_options.zone && watcherRank(peer.id) < ownRank; };
-    m_isWatcher = static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), isBefore)) < m_options.watchersPerZone;
+    const std::vector<NodeId> ranked = rankedProcesses(m_options.self, m_options.zone, peers);
+    const auto self = std::find(ranked.begin(), ranked.end(), m_options.self);
+    m_isWatcher = static_cast<std::size_t>(self - ranked.begin()) < m_options.watchersPerZone;
 }
 
 std::optional<std::string> ConfigurationWatch::handle(const StoreReply &reply, Instant now, SeededRandom &random)
--- a/modules/configuration/tests/distributionnetwork.h
+++ b/modules/configuration/tests/distributionnetwork.h
@@ -35,8 +35,9 @@
     std::uint64_t storeCalls = 0;
 
     /** Starts as many processes, spread over the zones in turn. */
-    DistributionNetwork(std::size_t processes, std::size_t zones, std::uint64_t seed)
-        : m_random(seed)
+    DistributionNetwork(std::size_t processes, std::size_t zones, std::uint64_t seed, const ConfigurationCore::Options &options = {})
+        : m_options(options)
+        , m_random(seed)
         , m_zones(zones)
         , m_nodes(processes)
     {
@@ -53,7 +54,7 @@
     void restart(std::size_t index)
     {
         ++m_nodes[index].life;
-        const auto options = ConfigurationCore::Options().withSelf(peers[index].id, peers[index].zone).withSeed(m_random());
+        const auto options = m_options.withSelf(peers[index].id, peers[index].zone).withSeed(m_random());
         m_nodes[index].core = std::make_unique<ConfigurationCore>(options);
         handle(index, ConfigurationPeersChanged{ peers });
     }
@@ -219,6 +220,7 @@
         });
     }
 
+    ConfigurationCore::Options m_options;
     std::mt19937_64 m_random;
     std::size_t m_zones;
     std::vector<Node> m_nodes;
--- a/modules/configuration/tests/distributiontest.cpp
+++ b/modules/configuration/tests/distributiontest.cpp
@@ -69,6 +69,23 @@
     BOOST_TEST(network.core(0).isReady());
 }
 
+BOOST_AUTO_TEST_CASE(NewRevisionIsPassedOnWithoutGossip)
+{
+    DistributionNetwork network(60, 3, 5);
+    network.publish(content(1));
+    network.run(target);
+    for (std::size_t index = 0; index < network.size(); ++index) {
+        BOOST_TEST(network.core(index).counts().pushed == 0U); // The first revision of a life is not passed on.
+    }
+    network.gossipInterval = 1h;
+    network.run(1s);
+    const std::uint64_t before = network.messages;
+    network.publish(content(2));
+    network.run(target);
+    BOOST_TEST(lowest(network) == 2U);
+    BOOST_TEST(network.messages - before == 54U); // One for each process but the two watchers in each of three zones.
+}
+
 BOOST_AUTO_TEST_CASE(HealedPartitionCatchesUp)
 {
     DistributionNetwork network(21, 3, 2);
