--- a/modules/http/entryapi.cpp
+++ b/modules/http/entryapi.cpp
@@ -92,8 +92,8 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange)
     {
         const HttpRequest &request = exchange->request();
-        if (request.target == "/healthz" || request.target == "/ready") {
-            exchange->respond(HttpResponse{ .contentType = "text/plain", .body = "ok\n" });
+        if (auto page = m_pages.respondTo(request)) {
+            exchange->respond(std::move(*page));
             return;
         }
         const auto target = parseTarget(request.target);
--- a/modules/http/upstreamgateway.cpp
+++ b/modules/http/upstreamgateway.cpp
@@ -130,8 +130,8 @@
             announce(exchange);
         } else if (request.method == "DELETE" && request.target.starts_with(withdrawPrefix)) {
             accept(exchange, UpstreamWithdrawn{ request.target.substr(withdrawPrefix.size()) });
-        } else if (request.target == "/healthz" || request.target == "/ready") {
-            exchange->respond(HttpResponse{ .contentType = "text/plain", .body = "ok\n" });
+        } else if (auto page = m_pages.respondTo(request)) {
+            exchange->respond(std::move(*page));
         } else {
             exchange->respond(HttpResponse{ .status = 404 });
         }
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -179,6 +179,19 @@
     }
 }
 
+void Deployment::balanceByReadiness()
+{
+    m_caller->setBalancer([this] {
+        std::vector<std::size_t> ready;
+        for (std::size_t entry = 0; entry < m_options.entries; ++entry) {
+            if (fetch("entry-" + std::to_string(entry), "/ready")) {
+                ready.push_back(entry);
+            }
+        }
+        return ready;
+    });
+}
+
 Evidence Deployment::evidence() const
 {
     Evidence evidence;
@@ -221,14 +234,11 @@
     if (m_options.agents > 1) {
         view["mirror"] = "agent-1";
     }
-    const json::object settings{ { "node", node.name },
-                                 { "peer", jsonOf(node.peer) },
-                                 { "http", jsonOf(node.http) },
-                                 { "zone", node.zone },
-                                 { "rack", node.rack },
-                                 { "members", std::move(members) },
-                                 { "services", json::array{ { { "name", "booking" } } } },
-                                 { "views", json::array{ view } } };
+    const json::object settings{
+        { "withdrawMs", 300 },           { "node", node.name }, { "peer", jsonOf(node.peer) },     { "http", jsonOf(node.http) },
+        { "zone", node.zone },           { "rack", node.rack }, { "members", std::move(members) }, { "services", json::array{ { { "name", "booking" } } } },
+        { "views", json::array{ view } }
+    };
     std::ofstream(file(node, ".json")) << json::serialize(settings);
 }
 
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -72,6 +72,9 @@
     /** Waits until the process answers at /ready. */
     void waitUntilReady(const std::string &name);
 
+    /** Sends callers from now on only to entries that answer at /ready, as the platform's balancer does. */
+    void balanceByReadiness();
+
     /** Everything that was recorded so far. */
     [[nodiscard]] Evidence evidence() const;
 
--- a/tests/harness/standinupstream.cpp
+++ b/tests/harness/standinupstream.cpp
@@ -101,10 +101,14 @@
 
     void announceAt(const NodeAddress &address)
     {
-        m_timer.after(Duration::zero(), [this, address] {
-            m_options.announcedAddress = address;
-            m_announced = false;
-        });
+        const std::lock_guard lock(m_addressMutex);
+        m_options.announcedAddress = address;
+        ++m_addressNumber;
+    }
+
+    [[nodiscard]] bool isAnnounced() const
+    {
+        return m_announcedNumber == m_addressNumber;
     }
 
     void leave()
@@ -117,7 +121,6 @@
 
     std::atomic<UpstreamMode> m_mode = UpstreamMode::Working;
     std::atomic<double> m_slowness = 1;
-    std::atomic<bool> m_announced = false;
     std::atomic<bool> m_silent = false;
 
 private:
@@ -134,13 +137,16 @@
         if (m_silent) {
             return;
         }
+        const std::lock_guard lock(m_addressMutex);
         const NodeAddress own = m_options.announcedAddress.value_or(address());
         const json::object announcement{
             { "service", m_options.service }, { "ip", own.ip }, { "port", own.port }, { "slots", m_options.slots }, { "connections", m_options.slots }
         };
         HttpRequest request{ .method = "POST", .target = "/v1/announce", .body = json::serialize(announcement) };
-        m_client.call(m_options.agent, std::move(request), announceTimeout, [this](const HttpResult &result) {
-            m_announced = m_announced || (result.response && result.response->status == 204);
+        m_client.call(m_options.agent, std::move(request), announceTimeout, [this, number = m_addressNumber.load()](const HttpResult &result) {
+            if (result.response && result.response->status == 204) {
+                m_announcedNumber = number;
+            }
         });
         m_timer.after(announcePeriod, [this] { announce(); });
     }
@@ -194,6 +200,9 @@
     }
 
     Options m_options;
+    std::mutex m_addressMutex;
+    std::atomic<int> m_addressNumber = 1; /**< Grows when the announced address changes. */
+    std::atomic<int> m_announcedNumber = 0; /**< Of the address that the agent has accepted last. */
     StartLog &m_log;
     bool m_dead = false;
     HttpServer m_server;
@@ -231,7 +240,7 @@
 
 bool StandInUpstream::isAnnounced() const
 {
-    return m_implementation->m_announced;
+    return m_implementation->isAnnounced();
 }
 
 void StandInUpstream::fallSilent()
