--- a/benchmarks/tests/policyboundstest.cpp
+++ b/benchmarks/tests/policyboundstest.cpp
@@ -66,4 +66,29 @@
     forEachRun({ .load = 0.01 }, 1, [](const Deployment &, const auto &, const RunResult &result) { BOOST_TEST(result.wastedMessages == 0U); });
 }
 
+BOOST_AUTO_TEST_CASE(EjectionAndStragglerRulesTakeEffect)
+{
+    const EjectionRules neverEject = EjectionRules{}.withFailurePercentAboveFleet(100);
+    const StragglerRules noStragglers = StragglerRules{}.withSlowdownPercent(10000);
+    const ServiceRules without = ServiceRules::Builder("bench").withEjection(neverEject).withStraggler(noStragglers).build();
+    const auto runWithout = [&without](const Deployment &deployment, const Scenario &scenario, const auto &items) {
+        return PolicyRun<LateBinding>(deployment, scenario, items, without).run("without");
+    };
+    const Scenario failing{ .load = 0.6, .failingWorker = true };
+    forEachRun(failing, 1, [&](const Deployment &deployment, const auto &items, const RunResult &result) {
+        const RunResult unprotected = runWithout(deployment, failing, items);
+        BOOST_TEST_MESSAGE(deployment.name << ": " << result.failedTasks << " failed tasks, " << unprotected.failedTasks << " without ejection");
+        BOOST_TEST(10 * result.failedTasks <= unprotected.failedTasks);
+        BOOST_TEST(result.wastedPerTask() <= 0.01);
+    });
+    const Scenario straggling{ .load = 0.6, .slowdown = 4 };
+    forEachRun(straggling, 1, [&](const Deployment &deployment, const auto &items, const RunResult &result) {
+        const Percentiles with = Percentiles::of(result.beyondHops);
+        const Percentiles unprotected = Percentiles::of(runWithout(deployment, straggling, items).beyondHops);
+        BOOST_TEST_MESSAGE(deployment.name << ": p99 " << with.p99.count() << " us, " << unprotected.p99.count() << " us without straggler rules");
+        BOOST_TEST(with.p99.count() <= 1000);
+        BOOST_TEST(unprotected.p99.count() > 1000);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/lagoonroute/placement/scheduler.h
+++ b/include/lagoonroute/placement/scheduler.h
@@ -87,10 +87,20 @@
     }
 
 private:
+    /** A worker that takes nothing else until a task fits that has waited long. */
+    struct Reservation
+    {
+        TaskId task;
+        NodeId worker;
+    };
+
     void releaseDelayed(Instant now);
     void collectCandidates(Instant now);
     void findStalled(Instant now);
     [[nodiscard]] std::optional<std::size_t> chooseWorker(const WaitingTask &task);
+    void reserveFor(const WaitingTask &task);
+    void dropReservationOf(const TaskId &task);
+    void dropUnusableReservation(Instant now);
     [[nodiscard]] bool hasOtherFreeSlot(NodeId worker, Instant now) const;
 
     ServiceRules m_rules;
@@ -102,6 +112,7 @@
     WorkerAccounts m_accounts;
     WorkerHealth m_health;
     RetryQueue m_retries;
+    std::optional<Reservation> m_reservation;
     Instant m_lastCall; // of a method that was told the time
     Instant m_stalledChecked;
     std::vector<Candidate> m_candidates; // of the present decision
--- a/include/lagoonroute/placement/workeraccounts.h
+++ b/include/lagoonroute/placement/workeraccounts.h
@@ -39,6 +39,12 @@
         return m_assigned;
     }
 
+    /** Tells whether the worker is known, has slots and is not leaving. */
+    [[nodiscard]] bool takesWork() const noexcept
+    {
+        return slots() > 0 && !m_state.leaving;
+    }
+
     /** Tells whether a need fits beside what is accounted. */
     [[nodiscard]] bool fits(const Resources &need) const noexcept;
 
@@ -98,7 +104,10 @@
     }
 
     /** Tasks accounted to workers that take new work. */
-    [[nodiscard]] std::uint32_t assigned() const noexcept;
+    [[nodiscard]] std::uint32_t assigned() const noexcept
+    {
+        return m_assigned;
+    }
 
     /** Tells whether a need fits an empty worker of any class that was ever known. */
     [[nodiscard]] bool fitsAnyClass(const Resources &need) const;
@@ -112,6 +121,7 @@
     std::map<NodeId, WorkerAccount> m_accounts;
     std::vector<Resources> m_classes; // capacities ever seen, none of which fits into another
     std::uint32_t m_slots = 0;
+    std::uint32_t m_assigned = 0;
 };
 
 } // namespace lagoonroute
--- a/include/lagoonroute/placement/workerhealth.h
+++ b/include/lagoonroute/placement/workerhealth.h
@@ -90,6 +90,7 @@
     void eject(Record &record, Instant now) const;
     static void decay(Record &record, Instant now);
     void compareSpeeds(Instant now);
+    void lookForTrouble();
     [[nodiscard]] bool standsOut(const Record &record) const;
     [[nodiscard]] bool mayEjectOneMore() const;
 
@@ -97,6 +98,7 @@
     StragglerRules m_straggler;
     std::map<NodeId, Record> m_records;
     Instant m_compared;
+    bool m_hasTrouble = false; // some worker's standing is not that of a healthy one
 };
 
 } // namespace lagoonroute
--- a/modules/placement/scheduler.cpp
+++ b/modules/placement/scheduler.cpp
@@ -15,6 +15,7 @@
 constexpr Duration stalledCheckInterval = std::chrono::milliseconds(250);
 constexpr int stalledFactor = 8; // run time against the mean
 constexpr std::size_t minStalledTasks = 2;
+constexpr Duration reserveAfter = std::chrono::seconds(1);
 
 bool isStalled(const WorkerAccount &account, Duration limit, Instant now)
 {
@@ -65,6 +66,9 @@
 {
     m_accounts.remove(worker);
     m_health.forget(worker);
+    if (m_reservation && m_reservation->worker == worker) {
+        m_reservation.reset();
+    }
     m_queue.setSlots(m_accounts.slots());
 }
 
@@ -90,6 +94,7 @@
 template <PlacementPolicy Policy>
 bool BasicScheduler<Policy>::remove(const TaskId &task)
 {
+    dropReservationOf(task);
     const bool wasDelayed = m_retries.remove(task);
     return m_queue.remove(task).has_value() || wasDelayed;
 }
@@ -103,6 +108,7 @@
         return std::nullopt;
     }
     findStalled(now);
+    dropUnusableReservation(now);
     collectCandidates(now);
     if (m_candidates.empty()) {
         return std::nullopt;
@@ -117,6 +123,7 @@
     if (!task) {
         return std::nullopt;
     }
+    dropReservationOf(task->demand.task);
     const Placement placement{ task->demand.task, worker };
     m_accounts.assign(worker, AccountedTask{ std::move(task->demand), task->estimate, task->enqueued, now });
     return placement;
@@ -128,6 +135,7 @@
     m_lastCall = now;
     std::vector<TaskId> expired = m_queue.takeExpired(now);
     for (const TaskId &task : expired) {
+        dropReservationOf(task);
         m_retries.forget(task);
     }
     m_retries.takeExpired(now, expired);
@@ -222,7 +230,7 @@
     std::uint64_t usualSlots = 0;
     for (const auto &[node, account] : m_accounts.all()) {
         const std::uint32_t slots = account.slots();
-        if (slots == 0 || account.state().leaving) {
+        if (!account.takesWork()) {
             continue;
         }
         const auto standing = m_health.standing(node, now);
@@ -241,17 +249,58 @@
 std::optional<std::size_t> BasicScheduler<Policy>::chooseWorker(const WaitingTask &task)
 {
     m_fitting.clear();
+    const bool isReserved = m_reservation && m_reservation->task != task.demand.task;
     for (std::size_t index = 0; index < m_candidates.size(); ++index) {
         const WorkerAccount &account = *m_candidateAccounts[index];
         const bool fits = Policy::bindsLate ? account.fits(task.demand.need) : task.demand.need.fitsInto(account.state().capacity);
-        if (fits) {
+        const bool isHeld = isReserved && m_candidates[index].worker == m_reservation->worker;
+        if (fits && !isHeld) {
             m_fitting.push_back(m_candidates[index]);
         }
     }
+    if (m_fitting.empty() && !m_reservation && m_lastCall - task.enqueued >= reserveAfter) {
+        reserveFor(task);
+    }
     const PlacementContext context{ task.demand.jobSize == 1, task.estimate, m_drainTime };
     return m_policy.choose(m_fitting, context, m_random);
 }
 
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::reserveFor(const WaitingTask &task)
+{
+    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &[node, account] : m_accounts.all()) {
+        const bool couldFit = account.takesWork() && task.demand.need.fitsInto(account.state().capacity);
+        const auto standing = m_health.standing(node, m_lastCall);
+        const bool isUsable = couldFit && standing.allowance > 1 && standing.slowdown <= 1;
+        if (isUsable && account.assigned() < fewest) {
+            fewest = account.assigned();
+            m_reservation = Reservation{ task.demand.task, node };
+        }
+    }
+}
+
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::dropUnusableReservation(Instant now)
+{
+    if (!m_reservation) {
+        return;
+    }
+    const WorkerAccount *account = m_accounts.find(m_reservation->worker);
+    const bool isUsable = account != nullptr && account->takesWork() && m_health.standing(m_reservation->worker, now).allowance > 1;
+    if (!isUsable) {
+        m_reservation.reset();
+    }
+}
+
+template <PlacementPolicy Policy>
+void BasicScheduler<Policy>::dropReservationOf(const TaskId &task)
+{
+    if (m_reservation && m_reservation->task == task) {
+        m_reservation.reset();
+    }
+}
+
 template <PlacementPolicy Policy>
 void BasicScheduler<Policy>::findStalled(Instant now)
 {
@@ -271,7 +320,7 @@
     return std::any_of(m_accounts.all().begin(), m_accounts.all().end(), [&](const auto &item) {
         const auto &[node, account] = item;
         const auto standing = m_health.standing(node, now);
-        return node != worker && !account.state().leaving && standing.slowdown <= 1 && account.assigned() < std::min(account.slots(), standing.allowance);
+        return node != worker && account.takesWork() && standing.slowdown <= 1 && account.assigned() < std::min(account.slots(), standing.allowance);
     });
 }
 
--- a/modules/placement/workeraccounts.cpp
+++ b/modules/placement/workeraccounts.cpp
@@ -89,6 +89,7 @@
     }
     task.incarnation = account.m_state.incarnation;
     ++account.m_assigned;
+    m_assigned += account.takesWork() ? 1 : 0;
     account.m_used = sum(account.m_used, task.demand.need);
     account.m_tasks.push_back(std::move(task));
 }
@@ -109,6 +110,7 @@
     account.m_tasks.erase(position);
     if (settled.incarnation == account.m_state.incarnation) {
         --account.m_assigned;
+        m_assigned -= account.takesWork() ? 1 : 0;
         account.m_used = difference(account.m_used, settled.demand.need);
     }
     if (!account.m_known && account.m_tasks.empty()) {
@@ -140,15 +142,6 @@
     return found == m_accounts.end() ? nullptr : &found->second;
 }
 
-std::uint32_t WorkerAccounts::assigned() const noexcept
-{
-    std::uint32_t total = 0;
-    for (const auto &[node, account] : m_accounts) {
-        total += account.slots() > 0 && !account.state().leaving ? account.assigned() : 0;
-    }
-    return total;
-}
-
 bool WorkerAccounts::fitsAnyClass(const Resources &need) const
 {
     return std::any_of(m_classes.begin(), m_classes.end(), [&need](const Resources &capacity) { return need.fitsInto(capacity); });
@@ -158,15 +151,17 @@
 {
     return std::any_of(m_accounts.begin(), m_accounts.end(), [&need](const auto &item) {
         const WorkerAccount &account = item.second;
-        return account.slots() > 0 && !account.state().leaving && need.fitsInto(account.state().capacity);
+        return account.takesWork() && need.fitsInto(account.state().capacity);
     });
 }
 
 void WorkerAccounts::countSlots()
 {
     m_slots = 0;
+    m_assigned = 0;
     for (const auto &[node, account] : m_accounts) {
-        m_slots += account.state().leaving ? 0 : account.slots();
+        m_slots += account.takesWork() ? account.slots() : 0;
+        m_assigned += account.takesWork() ? account.assigned() : 0;
     }
 }
 
--- a/modules/placement/workerhealth.cpp
+++ b/modules/placement/workerhealth.cpp
@@ -70,6 +70,9 @@
         refuse(record, now);
         break;
     }
+    if (m_hasTrouble || result != AttemptResult::Succeeded) {
+        lookForTrouble();
+    }
 }
 
 void WorkerHealth::succeed(Record &record, Duration runTime, Duration expected, Instant now)
@@ -200,18 +203,31 @@
         const double slowdown = record.samples >= m_straggler.minimumSamples ? std::exp(record.logSlowness - *middle) : 1;
         record.slowdown = percent * slowdown >= m_straggler.slowdownPercent ? slowdown : 1;
     }
+    lookForTrouble();
+}
+
+void WorkerHealth::lookForTrouble()
+{
+    m_hasTrouble = std::any_of(m_records.begin(), m_records.end(), [](const auto &item) {
+        const Record &record = item.second;
+        return record.phase != Phase::Healthy || record.stalled || record.refusals > 0 || record.slowdown > 1;
+    });
 }
 
 void WorkerHealth::setStalled(NodeId worker, bool stalled)
 {
     const auto found = m_records.find(worker);
-    if (found != m_records.end()) {
+    if (found != m_records.end() && found->second.stalled != stalled) {
         found->second.stalled = stalled;
+        lookForTrouble();
     }
 }
 
 WorkerHealth::Standing WorkerHealth::standing(NodeId worker, Instant now) const
 {
+    if (!m_hasTrouble) {
+        return { unlimited, 1 };
+    }
     const auto found = m_records.find(worker);
     if (found == m_records.end()) {
         return {};
