A change is passed on as a patch

Change: PatchConfiguration carries the audit record and a merge patch of the content. It applies to the one revision that it names, must lead to the digest of its audit record, and passes every check; who has another revision asks for the whole document. Mutations tried, each failing JsonTest/PatchLeadsToTheSuccessor or DistributionTest: digest of the result not compared, removals left out, recent marks not derived, a patch of another revision applied, whole documents sent instead.

--- a/benchmarks/configurationspeed.cpp
+++ b/benchmarks/configurationspeed.cpp
@@ -1,5 +1,7 @@
 /* Cost of a configuration document: bytes, printing, parsing and comparing, against the number of services. */
 
+#include "configurationpatch.h"
+
 #include <lagoonroute/configuration/configuration.h>
 
 #include <benchmark/benchmark.h>
@@ -36,6 +38,19 @@
     }
 }
 
+/** A change of one field: the bytes that go from process to process, and the work of one that receives them. */
+void applyChange(benchmark::State &state)
+{
+    const StoredConfiguration from = succeeding(nullptr, withServices(state.range(0)), { .mark = "a" });
+    const Configuration content = Configuration::Builder(from.configuration).withService(ServiceRules::Builder("service-0").withQueueLimit(5).build()).build();
+    const StoredConfiguration to = succeeding(&from, content, { .author = "aminata", .reason = "festival", .mark = Digest::of("b").toString() });
+    const std::string patch = makePatch(from, to);
+    for (auto iteration : state) {
+        benchmark::DoNotOptimize(applyPatch(from, patch));
+    }
+    state.counters["bytes"] = static_cast<double>(patch.size());
+}
+
 void compareDocuments(benchmark::State &state)
 {
     const Configuration from = withServices(state.range(0));
@@ -49,5 +64,6 @@
 
 BENCHMARK(printDocument)->Arg(1)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(parseDocument)->Arg(1)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(applyChange)->Arg(1)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(compareDocuments)->Arg(1)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
 BENCHMARK_MAIN();
--- a/include/lagoonroute/configuration/configurationmessages.h
+++ b/include/lagoonroute/configuration/configurationmessages.h
@@ -26,7 +26,17 @@
     auto operator<=>(const OfferConfiguration &) const = default;
 };
 
+/** Passes on what changes from one revision to the next; who has another revision in force asks for the whole. */
+struct PatchConfiguration
+{
+    Revision from = 0; /**< Revision to which the patch applies. */
+    Revision revision = 0; /**< Revision to which it leads. */
+    std::string patch; /**< Audit record and merge patch of the content, as JSON. */
+
+    auto operator<=>(const PatchConfiguration &) const = default;
+};
+
 /** What processes send one another about the configuration. */
-using ConfigurationMessage = std::variant<AskConfiguration, OfferConfiguration>;
+using ConfigurationMessage = std::variant<AskConfiguration, OfferConfiguration, PatchConfiguration>;
 
 } // namespace lagoonroute
--- a/include/lagoonroute/configuration/storedconfiguration.h
+++ b/include/lagoonroute/configuration/storedconfiguration.h
@@ -54,6 +54,12 @@
     auto operator<=>(const StoredConfiguration &) const = default;
 };
 
+/** Returns the digest of the compact JSON of a content. */
+Digest digestOf(const Configuration &configuration);
+
+/** Returns the recent marks of the value that follows `stored`. */
+std::vector<RevisionMark> marksAfter(const StoredConfiguration &stored);
+
 /** Returns the key under which a replaced configuration is kept. */
 std::string historyKey(Revision revision);
 
--- a/modules/configuration/appliedconfiguration.cpp
+++ b/modules/configuration/appliedconfiguration.cpp
@@ -1,9 +1,10 @@
 #include "appliedconfiguration.h"
 
+#include "configurationpatch.h"
+
 #include <lagoonroute/base/errors.h>
-#include <lagoonroute/configuration/storedconfiguration.h>
 
-#include <optional>
+#include <utility>
 
 namespace lagoonroute
 {
@@ -11,15 +12,6 @@
 namespace
 {
 
-std::optional<StoredConfiguration> parse(const std::string &document)
-{
-    try {
-        return StoredConfiguration::fromText(document);
-    } catch (const InvalidDocument &) {
-        return std::nullopt;
-    }
-}
-
 void appendChanges(const Configuration &from, const Configuration &to, std::vector<ConfigurationAction> &actions)
 {
     for (const auto &[name, rules] : to.services()) {
@@ -39,22 +31,48 @@
 
 void AppliedConfiguration::adopt(const std::string &document, ConfigurationCounts &counts, std::vector<ConfigurationAction> &actions)
 {
-    const std::optional<StoredConfiguration> offered = parse(document);
-    if (!offered) {
+    try {
+        replace(StoredConfiguration::fromText(document), counts, actions);
+    } catch (const InvalidDocument &) {
         ++counts.malformed;
+    }
+}
+
+void AppliedConfiguration::adopt(const PatchConfiguration &patch, ConfigurationCounts &counts, std::vector<ConfigurationAction> &actions)
+{
+    if (!m_stored || m_stored->revision() != patch.from) {
         return;
     }
-    if (offered->revision() <= m_revision) {
+    try {
+        replace(applyPatch(*m_stored, patch.patch), counts, actions);
+    } catch (const InvalidDocument &) {
+        ++counts.malformed;
+    }
+}
+
+ConfigurationMessage AppliedConfiguration::messageFor(Revision known) const
+{
+    if (revision() <= known) {
+        return OfferConfiguration{ revision(), {} };
+    }
+    if (known == m_patch.from && !m_patch.patch.empty()) {
+        return m_patch;
+    }
+    return OfferConfiguration{ revision(), m_stored->toText() };
+}
+
+void AppliedConfiguration::replace(StoredConfiguration next, ConfigurationCounts &counts, std::vector<ConfigurationAction> &actions)
+{
+    if (next.revision() <= revision()) {
         ++counts.lower;
         return;
     }
-    appendChanges(m_configuration, offered->configuration, actions);
-    m_revision = offered->revision();
-    m_document = document;
-    m_configuration = offered->configuration;
+    appendChanges(m_stored ? m_stored->configuration : Configuration(), next.configuration, actions);
+    m_patch = { revision(), next.revision(), m_stored ? makePatch(*m_stored, next) : std::string() };
+    m_stored = std::move(next);
     ++counts.applied;
-    actions.emplace_back(RevisionInForce{ m_revision });
-    actions.emplace_back(AuditRecorded{ offered->audit });
+    actions.emplace_back(RevisionInForce{ revision() });
+    actions.emplace_back(AuditRecorded{ m_stored->audit });
 }
 
 } // namespace lagoonroute
--- a/modules/configuration/appliedconfiguration.h
+++ b/modules/configuration/appliedconfiguration.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <lagoonroute/configuration/configurationcore.h>
-#include <lagoonroute/configuration/configurationmodel.h>
+#include <lagoonroute/configuration/storedconfiguration.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,22 +17,23 @@
     /** Takes a document, if it is readable and newer, and appends what changes by it. */
     void adopt(const std::string &document, ConfigurationCounts &counts, std::vector<ConfigurationAction> &actions);
 
+    /** Takes a patch, if it is readable and applies to the revision in force, and appends what changes by it. */
+    void adopt(const PatchConfiguration &patch, ConfigurationCounts &counts, std::vector<ConfigurationAction> &actions);
+
     /** Revision in force; 0 before the first one. */
     [[nodiscard]] Revision revision() const noexcept
     {
-        return m_revision;
+        return m_stored ? m_stored->revision() : 0;
     }
 
-    /** Document of the revision in force. */
-    [[nodiscard]] const std::string &document() const noexcept
-    {
-        return m_document;
-    }
+    /** Returns the message that brings a peer from the known revision to the one in force: a patch where that is enough. */
+    [[nodiscard]] ConfigurationMessage messageFor(Revision known) const;
 
 private:
-    Revision m_revision = 0;
-    std::string m_document;
-    Configuration m_configuration;
+    void replace(StoredConfiguration next, ConfigurationCounts &counts, std::vector<ConfigurationAction> &actions);
+
+    std::optional<StoredConfiguration> m_stored;
+    PatchConfiguration m_patch; /**< From the revision before; empty when that is not known. */
 };
 
 } // namespace lagoonroute
--- a/modules/configuration/configurationcore.cpp
+++ b/modules/configuration/configurationcore.cpp
@@ -60,7 +60,8 @@
 
     void answer(NodeId from, const AskConfiguration &question, Instant now, std::vector<ConfigurationAction> &actions);
     void adoptOffer(NodeId from, const OfferConfiguration &offer, Instant now, std::vector<ConfigurationAction> &actions);
-    void passOn(std::vector<ConfigurationAction> &actions);
+    void adoptPatch(NodeId from, const PatchConfiguration &patch, Instant now, std::vector<ConfigurationAction> &actions);
+    void passOn(Revision previous, std::vector<ConfigurationAction> &actions);
     void advance(Instant now, std::vector<ConfigurationAction> &actions);
 
     /** Whether a process that does not watch may read the store: it started a while ago and got nothing from peers. */
@@ -100,7 +101,11 @@
         answer(event.from, *question, now, actions);
         return;
     }
-    adoptOffer(event.from, std::get<OfferConfiguration>(event.message), now, actions);
+    if (const auto *offer = std::get_if<OfferConfiguration>(&event.message)) {
+        adoptOffer(event.from, *offer, now, actions);
+        return;
+    }
+    adoptPatch(event.from, std::get<PatchConfiguration>(event.message), now, actions);
 }
 
 void ConfigurationCore::Implementation::take(const ConfigurationStoreReplied &event, Instant now, std::vector<ConfigurationAction> &actions)
@@ -123,12 +128,8 @@
     if (++offersInWindow > options.offersPerSecond) {
         return;
     }
-    OfferConfiguration offer{ applied.revision(), {} };
-    if (applied.revision() > question.knownRevision) {
-        offer.document = applied.document();
-        ++counts.offered;
-    }
-    actions.emplace_back(SendConfigurationMessage{ from, std::move(offer) });
+    counts.offered += applied.revision() > question.knownRevision ? 1 : 0;
+    actions.emplace_back(SendConfigurationMessage{ from, applied.messageFor(question.knownRevision) });
 }
 
 void ConfigurationCore::Implementation::adoptOffer(NodeId from, const OfferConfiguration &offer, Instant now, std::vector<ConfigurationAction> &actions)
@@ -147,12 +148,26 @@
     }
 }
 
-void ConfigurationCore::Implementation::passOn(std::vector<ConfigurationAction> &actions)
+void ConfigurationCore::Implementation::adoptPatch(NodeId from, const PatchConfiguration &patch, Instant now, std::vector<ConfigurationAction> &actions)
+{
+    pull.answered(from, patch.revision, now);
+    if (patch.revision <= applied.revision()) {
+        ++counts.lower;
+        return;
+    }
+    const std::uint64_t malformed = counts.malformed;
+    applied.adopt(patch, counts, actions);
+    if (counts.malformed > malformed) {
+        pull.refused(from, now);
+    }
+}
+
+void ConfigurationCore::Implementation::passOn(Revision previous, std::vector<ConfigurationAction> &actions)
 {
     for (const NodeId child : push.children()) {
         if (pull.seenAt(child) < applied.revision()) {
             ++counts.pushed;
-            actions.emplace_back(SendConfigurationMessage{ child, OfferConfiguration{ applied.revision(), applied.document() } });
+            actions.emplace_back(SendConfigurationMessage{ child, applied.messageFor(previous) });
         }
     }
 }
@@ -181,7 +196,7 @@
     std::visit([&](const auto &typed) { m_implementation->take(typed, now, actions); }, event);
     const bool isFirst = before == 0; // After a start the peers have it already, or learn it by gossip.
     if (!isFirst && revision() > before) {
-        m_implementation->passOn(actions);
+        m_implementation->passOn(before, actions);
     }
     m_implementation->advance(now, actions);
 }
--- a/modules/configuration/configurationpull.cpp
+++ b/modules/configuration/configurationpull.cpp
@@ -141,7 +141,8 @@
 {
     ++counts.asked;
     m_asked.insert_or_assign(peer, now + m_options.askTimeout);
-    actions.emplace_back(SendConfigurationMessage{ peer, AskConfiguration{ inForce } });
+    const SendConfigurationMessage question{ peer, AskConfiguration{ inForce } };
+    actions.emplace_back(question);
 }
 
 std::vector<NodeId> ConfigurationPull::newestPeers() const
--- a/modules/configuration/storedconfiguration.cpp
+++ b/modules/configuration/storedconfiguration.cpp
@@ -51,7 +51,7 @@
     stored.audit = auditFromJson(value.at("audit"));
     stored.recentMarks = marksFromJson(value.at("recentMarks"));
     stored.configuration = readConfiguration(json::serialize(value.at("content")));
-    if (Digest::of(compactConfiguration(stored.configuration)) != stored.audit.digest) {
+    if (digestOf(stored.configuration) != stored.audit.digest) {
         throw InvalidDocument("stored configuration: the content has another digest");
     }
     return stored;
@@ -104,6 +104,19 @@
     }
 }
 
+Digest digestOf(const Configuration &configuration)
+{
+    return Digest::of(compactConfiguration(configuration));
+}
+
+std::vector<RevisionMark> marksAfter(const StoredConfiguration &stored)
+{
+    std::vector<RevisionMark> marks = stored.recentMarks;
+    marks.insert(marks.begin(), { stored.revision(), stored.audit.mark });
+    marks.resize(std::min(marks.size(), StoredConfiguration::maxRecentMarks));
+    return marks;
+}
+
 std::string historyKey(Revision revision)
 {
     return "configuration/history/" + std::to_string(revision % historyLength);
@@ -114,12 +127,10 @@
     StoredConfiguration next{ std::move(audit), std::move(configuration), {} };
     next.audit.from = current == nullptr ? 0 : current->revision();
     next.audit.to = next.audit.from + 1;
-    next.audit.digest = Digest::of(compactConfiguration(next.configuration));
+    next.audit.digest = digestOf(next.configuration);
     describeChanges(current == nullptr ? Configuration() : current->configuration, next.configuration, next.audit);
     if (current != nullptr) {
-        next.recentMarks = current->recentMarks;
-        next.recentMarks.insert(next.recentMarks.begin(), { current->revision(), current->audit.mark });
-        next.recentMarks.resize(std::min(next.recentMarks.size(), StoredConfiguration::maxRecentMarks));
+        next.recentMarks = marksAfter(*current);
     }
     return next;
 }
--- a/modules/configuration/tests/distributiontest.cpp
+++ b/modules/configuration/tests/distributiontest.cpp
@@ -80,9 +80,15 @@
     network.gossipInterval = 1h;
     network.run(1s);
     const std::uint64_t before = network.messages;
+    std::uint64_t patches = 0;
+    network.onAction = [&patches](std::size_t, const ConfigurationAction &action) {
+        const auto *send = std::get_if<SendConfigurationMessage>(&action);
+        patches += send != nullptr && std::holds_alternative<PatchConfiguration>(send->message) ? 1 : 0;
+    };
     network.publish(content(2));
     network.run(target);
     BOOST_TEST(lowest(network) == 2U);
+    BOOST_TEST(patches == 54U);
     BOOST_TEST(network.messages - before == 54U); // One for each process but the two watchers in each of three zones.
 }
 
@@ -171,6 +177,10 @@
     BOOST_TEST(offer(9, first.toText()) == 2U);
     BOOST_TEST(core.counts().malformed == 2U);
     BOOST_TEST(core.counts().lower == 2U);
+    core.handle(ConfigurationMessageReceived{ peer, PatchConfiguration{ 2, 3, "{}" } }, Instant{}, actions);
+    core.handle(ConfigurationMessageReceived{ peer, PatchConfiguration{ 1, 3, "{}" } }, Instant{}, actions);
+    BOOST_TEST(core.revision() == 2U);
+    BOOST_TEST(core.counts().malformed == 3U); // The patch of another revision is not even read.
     const StoredConfiguration third = succeeding(&second, Configuration(), { .mark = "c" });
     BOOST_TEST(offer(3, third.toText()) == 3U);
     BOOST_TEST(std::get<ServiceRemoved>(actions.at(0)).service == "booking");
--- a/modules/configuration/tests/jsontest.cpp
+++ b/modules/configuration/tests/jsontest.cpp
@@ -1,3 +1,6 @@
+#include "configurationpatch.h"
+
+#include <lagoonroute/base/errors.h>
 #include <lagoonroute/configuration/configuration.h>
 
 #include <boost/test/unit_test.hpp>
@@ -64,6 +67,19 @@
     BOOST_TEST(holds);
 }
 
+BOOST_AUTO_TEST_CASE(PatchLeadsToTheSuccessor)
+{
+    const bool holds = rc::check("applyPatch(a, makePatch(a, b)) == b", [] {
+        const StoredConfiguration from = succeeding(nullptr, generatedConfiguration(), { .mark = "a" });
+        const StoredConfiguration to = succeeding(&from, generatedConfiguration(), { .mark = "b" });
+        RC_ASSERT(applyPatch(from, makePatch(from, to)) == to);
+        std::string forged = makePatch(from, to);
+        forged.replace(forged.find(to.audit.digest.toString()), 32, Digest::of("other").toString());
+        RC_ASSERT_THROWS_AS(applyPatch(from, forged), InvalidDocument);
+    });
+    BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(EveryFaultIsNamedWithItsPlace)
 {
     const struct
