--- a/include/lagoonroute/dispatch/agentcore.h
+++ b/include/lagoonroute/dispatch/agentcore.h
@@ -15,7 +15,9 @@
 /**
  * Joins the cores of one agent: the executor of its upstream, and a home or mirror for each shard whose view names it.
  *
- * A view that makes the mirror the home promotes its records. Messages between cores of the same agent never leave it.
+ * A view that makes the mirror the home promotes its records. No home is opened for a view that claims kept records
+ * which this process does not have, unless it names this life of the process. Messages between cores of the same agent never
+ * leave it.
  */
 class AgentCore
 {
@@ -53,12 +55,16 @@
 private:
     using Actions = std::vector<AgentAction>;
 
+    [[nodiscard]] bool isHome(const ShardView &view) const noexcept;
+    [[nodiscard]] bool isMirror(const ShardView &view) const noexcept;
     void route(const AgentEvent &event, Instant now, Actions &actions);
     void routeMessage(const MessageReceived &event, Instant now, Actions &actions);
     void routeRequest(const MessageReceived &event, const ShardKey &shard, Epoch epoch, const RequestId &request, Instant now, Actions &actions);
     void updateMirror(NodeId from, const UpdateMirror &message, Instant now, Actions &actions);
     void changeView(const ShardView &view, Instant now, Actions &actions);
     void openHome(const ShardView &view, Instant now, Actions &actions);
+    [[nodiscard]] bool isPromotable(const ShardView &view) const;
+    [[nodiscard]] bool mayOpen(const ShardView &view) const;
     ShardRecords takeRecords(const ShardView &view, Instant now);
     void closeHome(const ShardKey &shard, const std::optional<ShardView> &view, Actions &actions);
     void propose(const ShardView &view);
@@ -68,6 +74,7 @@
 
     NodeId m_self;
     std::uint64_t m_seed;
+    Incarnation m_incarnation;
     bool m_stopping = false;
     ExecutorCore m_executor;
     std::map<std::string, ServiceRules> m_rules;
--- a/include/lagoonroute/dispatch/executorcore.h
+++ b/include/lagoonroute/dispatch/executorcore.h
@@ -98,6 +98,7 @@
     void withdraw(NodeId home, const WithdrawTasks &message, Instant now, Actions &actions);
     void recover(NodeId home, const RecoverTasks &message, Instant now, Actions &actions);
     void acknowledge(const AcknowledgeResults &message, Instant now);
+    void loseConnection(NodeId peer, Instant now);
     void changeView(const ShardView &view, Actions &actions);
     void withdrawUpstream(const std::string &service, Instant now, Actions &actions);
     void stop(Instant now, Actions &actions);
--- a/modules/dispatch/agentcore.cpp
+++ b/modules/dispatch/agentcore.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/** Epoch of a shard that has just been created and has no records. */
+constexpr Epoch firstEpoch = 1;
+
 /** Whether a message is the answer of a mirror or an executor to a shard's home. */
 template <typename Message>
 constexpr bool isForHome
@@ -27,6 +30,7 @@
 AgentCore::AgentCore(NodeId self, std::uint64_t seed, Incarnation incarnation)
     : m_self(self)
     , m_seed(seed)
+    , m_incarnation(incarnation)
     , m_executor(self, incarnation)
 {
 }
@@ -94,6 +98,18 @@
     return m_executor.isDrained() && std::all_of(m_homes.begin(), m_homes.end(), [](const auto &entry) { return entry.second->unansweredJobCount() == 0; });
 }
 
+bool AgentCore::isHome(const ShardView &view) const noexcept
+{
+    const bool isThisLife = view.homeLife == 0 || m_incarnation == 0 || view.homeLife == m_incarnation;
+    return view.home == m_self && isThisLife;
+}
+
+bool AgentCore::isMirror(const ShardView &view) const noexcept
+{
+    const bool isThisLife = view.mirrorLife == 0 || m_incarnation == 0 || view.mirrorLife == m_incarnation;
+    return view.mirror == m_self && isThisLife;
+}
+
 void AgentCore::route(const AgentEvent &event, Instant now, Actions &actions)
 {
     if (const auto *received = std::get_if<MessageReceived>(&event)) {
@@ -165,7 +181,7 @@
     const Epoch knownEpoch = view == m_views.end() ? 0 : view->second.epoch;
     const auto held = m_homes.find(message.shard);
     const bool isOwnEpoch = held != m_homes.end() && held->second->view().epoch >= message.epoch;
-    const bool isOtherMirror = knownEpoch == message.epoch && view->second.mirror != m_self;
+    const bool isOtherMirror = knownEpoch == message.epoch && !isMirror(view->second);
     if (message.epoch < knownEpoch || isOwnEpoch || isOtherMirror) {
         actions.emplace_back(SendMessage{ from, MirrorUpdated{ message.shard, message.epoch, 0, false } });
         return;
@@ -196,12 +212,12 @@
     known = view;
     m_startsAllowed.erase(view.key);
     m_executor.handle(ViewChanged{ view }, now, actions);
-    if (view.home == m_self) {
+    if (isHome(view)) {
         openHome(view, now, actions);
         return;
     }
     closeHome(view.key, view, actions);
-    if (view.mirror == m_self) {
+    if (isMirror(view)) {
         m_mirrors.try_emplace(view.key, view.key).first->second.follow(view);
     } else {
         m_mirrors.erase(view.key);
@@ -216,7 +232,7 @@
         return;
     }
     const auto rules = m_rules.find(view.key.service);
-    if (rules == m_rules.end()) {
+    if (rules == m_rules.end() || !mayOpen(view)) {
         return;
     }
     closeHome(view.key, view, actions);
@@ -243,14 +259,24 @@
     home.recover(now, actions);
 }
 
-ShardRecords AgentCore::takeRecords(const ShardView &view, Instant now)
+bool AgentCore::isPromotable(const ShardView &view) const
 {
     const auto mirror = m_mirrors.find(view.key);
-    const bool hasRecords = view.recordsKept && mirror != m_mirrors.end() && mirror->second.mayBePromoted(view.epoch);
+    return view.recordsKept && mirror != m_mirrors.end() && mirror->second.mayBePromoted(view.epoch);
+}
+
+bool AgentCore::mayOpen(const ShardView &view) const
+{
+    // A view that names no life may speak of an earlier one of this process, under whose epoch tasks have started.
+    return !view.recordsKept || view.epoch == firstEpoch || isPromotable(view) || view.homeLife != 0;
+}
+
+ShardRecords AgentCore::takeRecords(const ShardView &view, Instant now)
+{
     ShardRecords records;
-    if (hasRecords) {
-        records = mirror->second.takeRecords();
-    } else if (view.epoch > 1 || !view.recordsKept) {
+    if (isPromotable(view)) {
+        records = m_mirrors.at(view.key).takeRecords();
+    } else if (!view.recordsKept || view.epoch != firstEpoch) {
         records.lostAt = now;
     }
     m_mirrors.erase(view.key);
@@ -274,7 +300,7 @@
     m_executor.handle(event, now, actions);
     toHomes(service, event, now, actions);
     for (const auto &[key, view] : m_views) {
-        if (key.service == service && view.home == m_self && m_homes.count(key) == 0) {
+        if (key.service == service && isHome(view) && m_homes.count(key) == 0) {
             openHome(view, now, actions);
         }
     }
--- a/modules/dispatch/executorcore.cpp
+++ b/modules/dispatch/executorcore.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t defaultQueueDepth = 1;
 constexpr Duration firstRepeatDelay = std::chrono::seconds(5);
 constexpr Duration longestRepeatDelay = std::chrono::seconds(60);
+constexpr Duration reconnectDelay = std::chrono::milliseconds(20);
 
 /** Time beyond a task's timeout in which the adapter reports it, before the executor gives the call up. */
 constexpr Duration timeoutMargin = std::chrono::seconds(1);
@@ -66,12 +67,7 @@
     } else if (const auto *rules = std::get_if<RulesChanged>(&event)) {
         m_queueDepths[rules->rules.name()] = rules->rules.executorQueueDepth();
     } else if (const auto *lost = std::get_if<ConnectionLost>(&event)) {
-        for (const TaskId &id : m_unacknowledged) {
-            const Task &task = m_tasks.at(id);
-            if (m_homes.at(task.start.shard).node == lost->peer) {
-                sendResult(task, actions);
-            }
-        }
+        loseConnection(lost->peer, now);
     } else if (std::holds_alternative<StopRequested>(event)) {
         stop(now, actions);
     }
@@ -336,6 +332,16 @@
     actions.emplace_back(SendMessage{ m_homes.at(task.start.shard).node, *task.finished });
 }
 
+void ExecutorCore::loseConnection(NodeId peer, Instant now)
+{
+    for (const TaskId &id : m_unacknowledged) {
+        Task &task = m_tasks.at(id);
+        if (m_homes.at(task.start.shard).node == peer && now + reconnectDelay < task.due) {
+            setDue(task, now + reconnectDelay);
+        }
+    }
+}
+
 void ExecutorCore::changeView(const ShardView &view, Actions &actions)
 {
     KnownHome &known = m_homes[view.key];
--- a/modules/dispatch/homecore.cpp
+++ b/modules/dispatch/homecore.cpp
@@ -11,6 +11,7 @@
 
 /** A gap between events after which the mirror is asked whether this home still decides. */
 constexpr Duration pauseLimit = std::chrono::seconds(1);
+constexpr Duration reconnectDelay = std::chrono::milliseconds(20);
 
 void takeEarlier(std::optional<Instant> &earliest, std::optional<Instant> candidate)
 {
@@ -127,15 +128,25 @@
         changeView(changedView->view, now);
     } else if (const auto *lost = std::get_if<ConnectionLost>(&event)) {
         if (lost->peer == link.mirror()) {
-            link.repeat();
+            link.loseConnection(now);
+        }
+        if (m_tasksOfWorker.count(lost->peer) > 0) {
+            m_reconnects.try_emplace(lost->peer, now + reconnectDelay);
         }
-        repeatToWorker(lost->peer, true, now, actions);
     } else if (const auto *clock = std::get_if<WallClockRead>(&event)) {
         const Duration offset = std::chrono::duration_cast<Duration>(clock->time.time_since_epoch()) - now.time_since_epoch();
         m_wallOffset = m_wallOffset ? std::max(*m_wallOffset, offset) : offset;
     } else if (std::holds_alternative<StopRequested>(event)) {
         m_stopping = true;
     }
+    for (auto reconnect = m_reconnects.begin(); reconnect != m_reconnects.end();) {
+        if (reconnect->second > now) {
+            ++reconnect;
+            continue;
+        }
+        repeatToWorker(reconnect->first, true, now, actions);
+        reconnect = m_reconnects.erase(reconnect);
+    }
     if (m_askAgainAt && *m_askAgainAt <= now) {
         askAgain(now, actions);
     }
@@ -215,13 +226,20 @@
 
 std::optional<Instant> HomeCore::Implementation::nextWake() const
 {
+    // What the scheduler had due at the last event waits for something else than time, such as the mirror.
     std::optional<Instant> earliest = m_scheduler.nextWake();
+    if (earliest && *earliest <= m_lastEvent) {
+        earliest.reset();
+    }
     takeEarlier(earliest, link.nextWake());
     takeEarlier(earliest, m_messages.nextWake());
     takeEarlier(earliest, m_askAgainAt);
     if (!m_deadlines.empty()) {
         takeEarlier(earliest, m_deadlines.begin()->first);
     }
+    for (const auto &[worker, at] : m_reconnects) {
+        takeEarlier(earliest, at);
+    }
     for (const auto &[worker, until] : m_suspended) {
         takeEarlier(earliest, until);
     }
--- a/modules/dispatch/homeimplementation.h
+++ b/modules/dispatch/homeimplementation.h
@@ -132,6 +132,7 @@
     std::deque<std::pair<Instant, JobId>> m_answeredAt;
     std::map<NodeId, WorkerState> m_workers;
     std::map<NodeId, Instant> m_suspended;
+    std::map<NodeId, Instant> m_reconnects; /**< When to repeat what may be lost with a connection. */
     std::unordered_map<NodeId, std::set<TaskId>> m_tasksOfWorker; /**< Assigned and not settled. */
     std::optional<Instant> m_askAgainAt;
 };
--- a/modules/dispatch/mirrorlink.cpp
+++ b/modules/dispatch/mirrorlink.cpp
@@ -1,5 +1,6 @@
 #include "mirrorlink.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lagoonroute
@@ -13,6 +14,7 @@
 constexpr std::size_t maxBytesPerUpdate = 256 * 1024;
 constexpr std::size_t maxTransferRecordsUnacknowledged = 1024;
 constexpr Duration repeatInterval = std::chrono::milliseconds(250);
+constexpr Duration reconnectDelay = std::chrono::milliseconds(20);
 
 std::size_t bytesOf(const MirrorRecord &record)
 {
@@ -61,7 +63,7 @@
         return;
     }
     const bool isLate = m_sent > m_acknowledged && now - m_lastProgress >= repeatInterval;
-    if (isLate) {
+    if (isLate || (m_repeatAt && *m_repeatAt <= now)) {
         repeat();
     }
     const std::uint64_t end = m_acknowledged + m_unacknowledged.size();
@@ -109,8 +111,16 @@
     }
 }
 
+void MirrorLink::loseConnection(Instant now)
+{
+    if (hasMirror() && !m_repeatAt) {
+        m_repeatAt = now + reconnectDelay;
+    }
+}
+
 void MirrorLink::repeat()
 {
+    m_repeatAt.reset();
     m_sent = m_acknowledged;
     m_updatesOnTheWay.clear();
 }
@@ -122,10 +132,14 @@
 
 std::optional<Instant> MirrorLink::nextWake() const
 {
-    if (!hasMirror() || m_refused || m_sent <= m_acknowledged) {
+    if (!hasMirror() || m_refused) {
         return std::nullopt;
     }
-    return m_lastProgress + repeatInterval;
+    if (m_sent <= m_acknowledged) {
+        return m_repeatAt;
+    }
+    const Instant late = m_lastProgress + repeatInterval;
+    return m_repeatAt ? std::min(*m_repeatAt, late) : late;
 }
 
 } // namespace lagoonroute
--- a/modules/dispatch/mirrorlink.h
+++ b/modules/dispatch/mirrorlink.h
@@ -32,8 +32,8 @@
     /** Handles an acknowledgement or a refusal. */
     void receive(const MirrorUpdated &message, Instant now);
 
-    /** Sends everything again that is not acknowledged, at the next send(). */
-    void repeat();
+    /** Notes that messages may be lost: all that is not acknowledged is sent again a little later, once. */
+    void loseConnection(Instant now);
 
     /** Whether the view has a mirror. */
     [[nodiscard]] bool hasMirror() const noexcept
@@ -73,6 +73,7 @@
 
 private:
     UpdateMirror nextBatch();
+    void repeat();
 
     ShardKey m_shard;
     Epoch m_epoch = 0;
@@ -84,6 +85,7 @@
     std::uint64_t m_sent = 0;
     std::deque<std::uint64_t> m_updatesOnTheWay; /**< Number after the last record of each. */
     Instant m_lastProgress;
+    std::optional<Instant> m_repeatAt;
 };
 
 } // namespace lagoonroute
