--- a/include/lagoonroute/http/http.h
+++ b/include/lagoonroute/http/http.h
@@ -10,5 +10,6 @@
 #include <lagoonroute/http/httpclient.h>
 #include <lagoonroute/http/httpmessage.h>
 #include <lagoonroute/http/httpserver.h>
+#include <lagoonroute/http/httpstore.h>
 #include <lagoonroute/http/operatorpages.h>
 #include <lagoonroute/http/upstreamgateway.h>
--- a/include/lagoonroute/platform/storemodel.h
+++ b/include/lagoonroute/platform/storemodel.h
@@ -19,6 +19,7 @@
     bool down = false; /**< No call arrives and no answer leaves. */
     double requestLoss = 0; /**< Chance that a call is lost before its effect. */
     double answerLoss = 0; /**< Chance that the answer of a call is lost after its effect. */
+    std::uint32_t loseAnswers = 0; /**< So many swaps and leases from now on lose their answers for certain. */
     Duration delay{ 0 }; /**< From the effect to the answer. */
     std::uint32_t writesPerSecond = 0; /**< Further writes are rejected; 0 for no limit. */
     std::uint32_t readsPerSecond = 0; /**< Further reads are rejected; 0 for no limit. */
--- a/modules/platform/storemodel.cpp
+++ b/modules/platform/storemodel.cpp
@@ -57,7 +57,11 @@
         return;
     }
     std::optional<StoreReply> reply = apply(session, call, now);
-    if (reply && !draw(m_faults.answerLoss)) {
+    const bool isLostForCertain = write && m_faults.loseAnswers > 0;
+    if (isLostForCertain) {
+        --m_faults.loseAnswers;
+    }
+    if (reply && !isLostForCertain && !draw(m_faults.answerLoss)) {
         reply->number = call.number;
         answer(session, std::move(*reply), now);
     }
--- a/modules/platform/tests/storeclienttest.cpp
+++ b/modules/platform/tests/storeclienttest.cpp
@@ -91,6 +91,21 @@
     BOOST_TEST((grant(5, "first", start + std::chrono::seconds(9)).status == StoreStatus::Conflict));
 }
 
+BOOST_AUTO_TEST_CASE(StoreRejectsWritesAboveItsRate)
+{
+    StoreModel store;
+    store.setFaults({ .writesPerSecond = 2 });
+    const auto write = [&store](std::uint64_t number, Instant now) {
+        store.submit(1, { number, StorePurpose::View, StoreSwap{ std::to_string(number), "value", 0 } }, now);
+        return store.poll(now).at(0).reply.status;
+    };
+    BOOST_TEST((write(1, start) == StoreStatus::Ok));
+    BOOST_TEST((write(2, start) == StoreStatus::Ok));
+    BOOST_TEST((write(3, start) == StoreStatus::Rejected));
+    BOOST_TEST(store.entry("3").version == 0U);
+    BOOST_TEST((write(3, start + std::chrono::seconds(1)) == StoreStatus::Ok));
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswersOfSwapsAreResolvedByTheMark)
 {
     // Two writers race through a store that loses calls and answers; the store keeps the marks of every applied write.
