--- a/include/lagoonroute/membership/membership.h
+++ b/include/lagoonroute/membership/membership.h
@@ -6,6 +6,7 @@
  * Depends on base, platform and on the resource types of configuration.
  */
 
+#include <lagoonroute/membership/contactcore.h>
 #include <lagoonroute/membership/member.h>
 #include <lagoonroute/membership/membershipcore.h>
 #include <lagoonroute/membership/viewcore.h>
--- a/modules/membership/membershipstate.cpp
+++ b/modules/membership/membershipstate.cpp
@@ -110,6 +110,7 @@
         }
     }
     report(entry);
+    updateExpiry();
 }
 
 void MembershipState::countFailure(MemberEntry &entry, Instant now)
@@ -228,6 +229,9 @@
 
 void MembershipState::expire(Instant now)
 {
+    if (!m_nextExpiry || *m_nextExpiry > now) {
+        return;
+    }
     std::vector<MemberNotice> deaths;
     std::vector<NodeId> forgotten;
     for (auto &[id, entry] : m_table.entries()) {
@@ -250,6 +254,7 @@
     for (const NodeId id : forgotten) {
         m_table.erase(id);
     }
+    updateExpiry();
 }
 
 void MembershipState::postpone(Duration pause)
@@ -259,12 +264,13 @@
             *entry.suspectUntil += pause;
         }
     }
+    updateExpiry();
 }
 
-std::optional<Instant> MembershipState::nextExpiry() const
+void MembershipState::updateExpiry()
 {
-    std::optional<Instant> next;
-    const auto consider = [&next](Instant instant) { next = next ? std::min(*next, instant) : instant; };
+    m_nextExpiry.reset();
+    const auto consider = [this](Instant instant) { m_nextExpiry = m_nextExpiry ? std::min(*m_nextExpiry, instant) : instant; };
     for (const auto &[id, entry] : m_table.entries()) {
         if (entry.suspectUntil) {
             consider(*entry.suspectUntil);
@@ -276,7 +282,11 @@
             consider(entry.diedAt + m_options.deadRetention);
         }
     }
-    return next;
+}
+
+std::optional<Instant> MembershipState::nextExpiry() const
+{
+    return m_nextExpiry;
 }
 
 Instant MembershipState::lastNews() const noexcept
--- a/modules/membership/membershipstate.h
+++ b/modules/membership/membershipstate.h
@@ -63,6 +63,7 @@
     void changed(MemberEntry &entry, const std::optional<Member> &before, Instant now);
     void countFailure(MemberEntry &entry, Instant now);
     void report(const MemberEntry &entry);
+    void updateExpiry();
     [[nodiscard]] Duration suspicionTimeout() const;
 
     const MembershipCore::Options &m_options;
@@ -72,6 +73,7 @@
     std::uint64_t m_viewsHash = 0;
     UpdateQueue m_queue;
     Instant m_lastNews;
+    std::optional<Instant> m_nextExpiry;
     std::uint64_t m_suspicions = 0;
     std::uint64_t m_refutations = 0;
 };
