Views and configuration from the platform's store reach every process

Cause: views and rules stood in the settings, so no home could be replaced and no change of rules could come into force. Change: ControlCore joins membership, views, configuration and the store's client; agents take part in views, entries learn them by gossip; configuration messages travel beside those of dispatch; a planned stop announces leaving, hands its shards over (for 10 s at most, should the store be away), drains and says goodbye. Solo keeps its configuration in the in-memory store.

--- a/include/lagoonroute/app/entrynode.h
+++ b/include/lagoonroute/app/entrynode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lagoonroute/app/settings.h>
+#include <lagoonroute/platform/memorystore.h>
 
 #include <memory>
 
@@ -11,8 +12,11 @@
 class EntryNode
 {
 public:
-    /** Starts the entry. Throws NetworkError when an address is taken. */
-    explicit EntryNode(const Settings &settings);
+    /**
+     * Starts the entry. With `store` it uses that store within this process instead of the one that the settings name.
+     * Throws NetworkError when an address is taken.
+     */
+    explicit EntryNode(const Settings &settings, const std::shared_ptr<SharedStore> &store = nullptr);
     ~EntryNode();
 
     EntryNode(const EntryNode &) = delete;
@@ -27,6 +31,15 @@
     /** Tells balancers and peers whether to send new work here. */
     void setReady(bool ready);
 
+    /** Whether it has a configuration that it may serve under. */
+    [[nodiscard]] bool isReady() const;
+
+    /** Announces that it takes no new work soon, and goes on serving. */
+    void withdraw();
+
+    /** Announces that it is gone. */
+    void leave();
+
     /** Refuses new work from now on and finishes what runs. */
     void drain();
 
--- a/include/lagoonroute/app/settings.h
+++ b/include/lagoonroute/app/settings.h
@@ -17,6 +17,7 @@
     NodeAddress peer; /**< Where other processes of the system reach it. */
     NodeAddress advertise; /**< Where others are told to reach it, when that differs from `peer`. */
     NodeAddress http; /**< Where callers, the upstream and operators reach it. */
+    NodeAddress store; /**< The platform's store; port 0 when views and services stand in these settings. */
     std::string zone; /**< Availability zone. */
     std::string rack; /**< Rack within the availability zone. */
     std::string logLevel = "info";
--- a/include/lagoonroute/base/boundedring.h
+++ b/include/lagoonroute/base/boundedring.h
@@ -35,8 +35,14 @@
     {
     }
 
-    /** Appends the value. Returns false, and leaves `value` as it was, when the ring is full. */
+    /** Appends the value. Returns false when the ring is full. */
     bool push(T &&value)
+    {
+        return offer(value);
+    }
+
+    /** Moves the value in. Returns false, and leaves `value` as it was, when the ring is full. */
+    bool offer(T &value)
     {
         if (!moveIn(value)) {
             return false;
--- a/include/lagoonroute/control/controlcore.h
+++ b/include/lagoonroute/control/controlcore.h
@@ -1,19 +1,25 @@
 #pragma once
 
+#include <lagoonroute/configuration/configurationcore.h>
 #include <lagoonroute/control/controlevents.h>
 #include <lagoonroute/control/workertracker.h>
 #include <lagoonroute/membership/membershipcore.h>
+#include <lagoonroute/membership/viewcore.h>
+#include <lagoonroute/platform/storeclientcore.h>
 
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace lagoonroute
 {
 
 /**
- * Joins the cores that keep a process informed: membership, views and configuration.
+ * Joins the cores that keep a process informed: membership, views, the configuration and the client of the store.
  *
- * Its actions go out in order: what the cores of dispatch must know before a call of the store is sent comes first.
+ * Its actions go out in order: what the cores of dispatch must know before a call of the store is sent comes first. A
+ * process without a store takes views and rules from its settings and learns of members only.
  */
 class ControlCore
 {
@@ -22,8 +28,13 @@
     struct Options
     {
         MembershipCore::Options membership;
+        bool usesStore = false;
+        StoreClientCore::Options store;
+        ViewCore::Options views;
+        ConfigurationCore::Options configuration;
 
         Options withMembership(MembershipCore::Options options) const;
+        Options withStore(StoreClientCore::Options options) const;
     };
 
     explicit ControlCore(const Options &options);
@@ -40,16 +51,42 @@
         return m_membership;
     }
 
+    /** The views that an agent with a store knows; empty elsewhere. */
+    [[nodiscard]] const std::map<ShardKey, ShardView> &views() const;
+
+    /** Whether no view names this process, or it takes part in none. */
+    [[nodiscard]] bool isHandedOver() const;
+
+    /** Whether the process has a configuration that it may serve under. */
+    [[nodiscard]] bool isReady() const;
+
 private:
     using Actions = std::vector<ControlAction>;
 
     void tellMembership(const MembershipEvent &event, Instant now, Actions &actions);
-    void takeUp(MembershipAction &&action, Actions &actions);
-    void takeUpMember(const Member &member, std::vector<WorkerNews> news, Actions &actions);
+    void tellViews(const ViewEvent &event, Instant now, Actions &actions);
+    void tellConfiguration(const ConfigurationEvent &event, Instant now, Actions &actions);
+    void callStore(const StoreCall &call, Instant now, Actions &actions);
+    void takeReplies(StoreClientCore::Actions &store, Instant now, Actions &actions);
+    void takeUp(MembershipAction &&action, Instant now, Actions &actions);
+    void takeUp(ViewAction &&action, Instant now, Actions &actions);
+    void takeUp(ConfigurationAction &&action, Instant now, Actions &actions);
+    void changeMember(const Member &member, Instant now, Actions &actions);
+    void endMember(const Member &member, Instant now, Actions &actions);
+    void tellWorkers(std::vector<WorkerNews> news, Actions &actions);
+    void tellPeers(Instant now, Actions &actions);
+    void tellLocal(Instant now, Actions &actions);
+    void tellServices(Instant now, Actions &actions);
+    void elapse(Instant now, Actions &actions);
 
     MembershipCore m_membership;
+    StoreClientCore m_store;
+    std::optional<ViewCore> m_views;
+    std::optional<ConfigurationCore> m_configuration;
     WorkerTracker m_workers;
+    std::map<NodeId, ConfigurationPeer> m_peers;
     std::vector<ServiceOffer> m_offers;
+    std::map<std::string, std::uint32_t> m_shards;
     Revision m_revision = 0;
 };
 
--- a/include/lagoonroute/control/controlevents.h
+++ b/include/lagoonroute/control/controlevents.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <lagoonroute/configuration/configurationevents.h>
 #include <lagoonroute/dispatch/events.h>
 #include <lagoonroute/membership/membershipevents.h>
+#include <lagoonroute/membership/viewcore.h>
 #include <lagoonroute/platform/storeport.h>
 
 #include <variant>
@@ -24,10 +26,32 @@
 };
 
 /** Event of ControlCore. */
-using ControlEvent = std::variant<DatagramReceived, ContactsKnown, OffersChanged, ConnectionLost, LeaveRequested, LeaveCompleted, StoreReply, TimeElapsed>;
-
-/** Action of ControlCore: what is sent, and what the cores of dispatch are told. */
-using ControlAction
-    = std::variant<SendDatagram, StoreCall, PeerAddressKnown, SelfReplaced, ViewChanged, ViewProposed, StartsAllowed, WorkerChanged, WorkerGone, RulesChanged>;
+using ControlEvent = std::variant<DatagramReceived,
+                                  ConfigurationMessageReceived,
+                                  StoreReply,
+                                  ContactsKnown,
+                                  OffersChanged,
+                                  ConnectionLost,
+                                  MirrorSynchronised,
+                                  DrainRequested,
+                                  LeaveRequested,
+                                  LeaveCompleted,
+                                  TimeElapsed>;
+
+/** Action of ControlCore: what is sent, and what the cores of dispatch and the adapters are told. */
+using ControlAction = std::variant<SendDatagram,
+                                   SendConfigurationMessage,
+                                   StoreCall,
+                                   PeerAddressKnown,
+                                   SelfReplaced,
+                                   ViewChanged,
+                                   ViewProposed,
+                                   StartsAllowed,
+                                   WorkerChanged,
+                                   WorkerGone,
+                                   RulesChanged,
+                                   ServiceRemoved,
+                                   RevisionInForce,
+                                   AuditRecorded>;
 
 } // namespace lagoonroute
--- a/include/lagoonroute/observation/log.h
+++ b/include/lagoonroute/observation/log.h
@@ -24,6 +24,9 @@
 
     LogField(std::string_view fieldName, std::string_view text);
     LogField(std::string_view fieldName, std::int64_t number);
+
+    /** Returns a field whose value is already JSON. */
+    static LogField json(std::string_view fieldName, std::string text);
 };
 
 /** Sets up the process-wide log: one JSON object a line on standard error, from the given level on. */
--- a/include/lagoonroute/transport/messagecodec.h
+++ b/include/lagoonroute/transport/messagecodec.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <lagoonroute/configuration/configurationmessages.h>
 #include <lagoonroute/dispatch/messages.h>
 
 #include <compare>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace lagoonroute
 {
@@ -12,13 +14,16 @@
 /** Largest message between two processes, in bytes. */
 inline constexpr std::size_t maxMessageBytes = 64U << 20U;
 
+/** Every message between two processes over TCP. */
+using PeerMessage = std::variant<DispatchMessage, ConfigurationMessage>;
+
 /** A message with its sender and its addressee. */
 struct Envelope
 {
     NodeId from;
     Incarnation incarnation = 0; /**< Life of the sender. */
     NodeId to;
-    DispatchMessage message;
+    PeerMessage message;
 
     auto operator<=>(const Envelope &) const = default;
 };
--- a/include/lagoonroute/transport/peertransport.h
+++ b/include/lagoonroute/transport/peertransport.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <lagoonroute/base/boundedring.h>
+#include <lagoonroute/configuration/configurationevents.h>
 #include <lagoonroute/dispatch/events.h>
 #include <lagoonroute/membership/member.h>
+#include <lagoonroute/transport/messagecodec.h>
 
 #include <cstdint>
 #include <memory>
@@ -12,7 +14,7 @@
 {
 
 /** What the transport reports to the thread that decides. */
-using PeerEvent = std::variant<MessageReceived, ConnectionLost>;
+using PeerEvent = std::variant<MessageReceived, ConfigurationMessageReceived, ConnectionLost>;
 
 /**
  * Sends and receives the messages of one process, on a thread of its own.
@@ -50,7 +52,7 @@
     void setPeer(NodeId node, const NodeAddress &peerAddress);
 
     /** Sends a message. Returns false, having sent nothing, when the ring is full. Called by the thread that decides only. */
-    bool send(NodeId to, DispatchMessage message);
+    bool send(NodeId to, PeerMessage message);
 
     /** Passes what has arrived to `consume`. Called by the thread that decides only. */
     template <typename Consumer>
--- a/modules/app/agentnode.cpp
+++ b/modules/app/agentnode.cpp
@@ -18,8 +18,8 @@
 class AgentPorts
 {
 public:
-    AgentPorts(const Settings &settings, NodeBase &base, WakeSignal &signal)
-        : m_control(settings, base.incarnation(), signal)
+    AgentPorts(const Settings &settings, NodeBase &base, const std::shared_ptr<SharedStore> &store, WakeSignal &signal)
+        : m_control(settings, base.incarnation(), store, signal)
         , m_upstream(HttpServer::Options().withAddress(settings.http), base.pages(), signal)
     {
     }
@@ -71,11 +71,11 @@
 class AgentNode::Implementation
 {
 public:
-    explicit Implementation(const Settings &settings)
+    Implementation(const Settings &settings, const std::shared_ptr<SharedStore> &store)
         : m_base(settings.node)
-        , m_observer(m_base.metrics())
-        , m_core(controlOptionsOf(settings, NodeRole::Agent, m_base.incarnation()), settings.offerLifetime)
-        , m_ports(settings, m_base, m_signal)
+        , m_observer(m_base.metrics(), m_base.status())
+        , m_core(controlOptionsOf(settings, NodeRole::Agent, m_base.incarnation(), usesStore(settings, store)), settings.offerLifetime)
+        , m_ports(settings, m_base, store, m_signal)
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         m_thread.inject(AgentEvent(WallClockRead{ wallNow() }));
@@ -96,6 +96,22 @@
         return m_base;
     }
 
+    [[nodiscard]] bool isReady() const
+    {
+        return m_thread.isReady();
+    }
+
+    void withdraw()
+    {
+        m_thread.inject(ControlEvent(LeaveRequested{}));
+        m_thread.inject(ControlEvent(DrainRequested{}));
+    }
+
+    void leave()
+    {
+        m_thread.inject(ControlEvent(LeaveCompleted{}));
+    }
+
     void drain()
     {
         m_thread.inject(AgentEvent(StopRequested{}));
@@ -120,8 +136,8 @@
     DecisionThread<AgentProcess, AgentPorts, AgentObserver> m_thread;
 };
 
-AgentNode::AgentNode(const Settings &settings)
-    : m_implementation(std::make_unique<Implementation>(settings))
+AgentNode::AgentNode(const Settings &settings, const std::shared_ptr<SharedStore> &store)
+    : m_implementation(std::make_unique<Implementation>(settings, store))
 {
 }
 
@@ -132,6 +148,21 @@
     m_implementation->base().status().setReady(ready);
 }
 
+bool AgentNode::isReady() const
+{
+    return m_implementation->isReady();
+}
+
+void AgentNode::withdraw()
+{
+    m_implementation->withdraw();
+}
+
+void AgentNode::leave()
+{
+    m_implementation->leave();
+}
+
 void AgentNode::drain()
 {
     m_implementation->drain();
--- a/modules/app/agentobserver.cpp
+++ b/modules/app/agentobserver.cpp
@@ -7,10 +7,10 @@
 namespace lagoonroute
 {
 
-AgentObserver::AgentObserver(MetricsRegistry &metrics)
+AgentObserver::AgentObserver(MetricsRegistry &metrics, NodeStatus &status)
     : m_metrics(metrics)
     , m_taskSeconds(metrics.summary("lagoonroute_task_seconds"))
-    , m_control(metrics)
+    , m_control(metrics, status)
 {
 }
 
--- a/modules/app/agentobserver.h
+++ b/modules/app/agentobserver.h
@@ -12,8 +12,8 @@
 class AgentObserver
 {
 public:
-    /** Creates an observer that counts in the given registry, which must outlive it. */
-    explicit AgentObserver(MetricsRegistry &metrics);
+    /** Creates an observer that counts in the given registry; both arguments must outlive it. */
+    AgentObserver(MetricsRegistry &metrics, NodeStatus &status);
 
     /** Notes an event before the core handles it. */
     void observe(const AgentProcess::Event &event, Instant now);
--- a/modules/app/agentprocess.cpp
+++ b/modules/app/agentprocess.cpp
@@ -1,12 +1,19 @@
 #include "agentprocess.h"
 
-#include <algorithm>
-
 namespace lagoonroute
 {
 
+namespace
+{
+
+/** Time within which a planned stop hands its shards over; afterwards it goes on without. */
+constexpr Duration handoverTime = std::chrono::seconds(10);
+
+} // namespace
+
 AgentProcess::AgentProcess(const ControlCore::Options &control, Duration offerLifetime)
     : m_cores(control, control.membership.self.id, control.membership.seed, control.membership.self.incarnation)
+    , m_self(control.membership.self.id)
     , m_offers(offerLifetime)
 {
 }
@@ -17,16 +24,27 @@
     if (const auto *agentEvent = std::get_if<AgentEvent>(&event)) {
         updateOffers(*agentEvent, now, actions);
     }
+    reportMirrors(now, actions);
+    const auto *control = std::get_if<ControlEvent>(&event);
+    if (control != nullptr && std::holds_alternative<DrainRequested>(*control)) {
+        m_handoverLimit = now + handoverTime;
+    }
+    m_isHandoverGivenUp = m_handoverLimit && now >= *m_handoverLimit;
 }
 
 std::optional<Instant> AgentProcess::nextWake() const
 {
-    const std::optional<Instant> cores = m_cores.nextWake();
-    const std::optional<Instant> offers = m_offers.nextWake();
-    if (cores && offers) {
-        return std::min(*cores, *offers);
+    std::optional<Instant> earliest = m_cores.nextWake();
+    const auto consider = [&earliest](std::optional<Instant> wake) {
+        if (wake && (!earliest || *wake < *earliest)) {
+            earliest = wake;
+        }
+    };
+    consider(m_offers.nextWake());
+    if (!m_isHandoverGivenUp) {
+        consider(m_handoverLimit);
     }
-    return cores ? cores : offers;
+    return earliest;
 }
 
 void AgentProcess::updateOffers(const AgentEvent &event, Instant now, std::vector<Action> &actions)
@@ -47,4 +65,23 @@
     }
 }
 
+void AgentProcess::reportMirrors(Instant now, std::vector<Action> &actions)
+{
+    std::vector<MirrorSynchronised> news;
+    for (const auto &[shard, view] : m_cores.control().views()) {
+        if (view.home != m_self && view.mirror != m_self) {
+            continue;
+        }
+        const std::pair<Epoch, bool> state{ view.epoch, m_cores.dispatch().isMirrorSynchronised(shard) };
+        auto &reported = m_reportedMirrors[shard];
+        if (reported != state) {
+            reported = state;
+            news.push_back(MirrorSynchronised{ shard, state.first, state.second });
+        }
+    }
+    for (const MirrorSynchronised &item : news) {
+        m_cores.tellControl(item, now, actions);
+    }
+}
+
 } // namespace lagoonroute
--- a/modules/app/agentprocess.h
+++ b/modules/app/agentprocess.h
@@ -5,7 +5,9 @@
 #include <lagoonroute/control/offerkeeper.h>
 #include <lagoonroute/dispatch/agentcore.h>
 
+#include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace lagoonroute
@@ -34,17 +36,32 @@
     /** Returns when handle(elapsed()) is due next, or nothing. */
     [[nodiscard]] std::optional<Instant> nextWake() const;
 
-    /** Whether a planned stop was requested and no work is left. */
+    /**
+     * Whether a planned stop was requested, no work is left, and every shard is handed over or the store did not allow
+     * that in time.
+     */
     [[nodiscard]] bool isDrained() const
     {
-        return m_cores.isDrained();
+        return m_cores.isDrained() && (m_cores.control().isHandedOver() || m_isHandoverGivenUp);
+    }
+
+    /** Whether the process has a configuration that it may serve under. */
+    [[nodiscard]] bool isReady() const
+    {
+        return m_cores.control().isReady();
     }
 
 private:
     void updateOffers(const AgentEvent &event, Instant now, std::vector<Action> &actions);
 
+    void reportMirrors(Instant now, std::vector<Action> &actions);
+
     Cores m_cores;
+    NodeId m_self;
+    std::map<ShardKey, std::pair<Epoch, bool>> m_reportedMirrors;
     OfferKeeper m_offers;
+    std::optional<Instant> m_handoverLimit;
+    bool m_isHandoverGivenUp = false;
 };
 
 } // namespace lagoonroute
--- a/modules/app/controlobserver.cpp
+++ b/modules/app/controlobserver.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-ControlObserver::ControlObserver(MetricsRegistry &metrics)
+ControlObserver::ControlObserver(MetricsRegistry &metrics, NodeStatus &status)
     : m_metrics(metrics)
+    , m_status(status)
     , m_datagrams(metrics.counter("lagoonroute_gossip_datagrams_sent_total"))
     , m_storeCalls(metrics.counter("lagoonroute_store_calls_total"))
 {
@@ -42,7 +43,15 @@
     } else if (const auto *gone = std::get_if<WorkerGone>(&action)) {
         logLine(LogLevel::Warning, "worker gone", { { "service", gone->service }, { "worker", number(gone->node) } });
     } else if (const auto *rules = std::get_if<RulesChanged>(&action)) {
-        logLine(LogLevel::Info, "rules in force", { { "service", rules->rules.name() } });
+        logLine(LogLevel::Info, "rules changed", { { "service", rules->rules.name() } });
+    } else if (const auto *removed = std::get_if<ServiceRemoved>(&action)) {
+        logLine(LogLevel::Info, "service removed", { { "service", removed->service } });
+    } else if (const auto *inForce = std::get_if<RevisionInForce>(&action)) {
+        m_status.setRevision(inForce->revision);
+        m_metrics.gauge("lagoonroute_configuration_revision").set(static_cast<std::int64_t>(inForce->revision));
+        logLine(LogLevel::Info, "configuration in force", { { "revision", static_cast<std::int64_t>(inForce->revision) } });
+    } else if (const auto *audit = std::get_if<AuditRecorded>(&action)) {
+        logLine(LogLevel::Info, "audit", { LogField::json("record", audit->record.toJsonLine()) });
     }
 }
 
--- a/modules/app/controlobserver.h
+++ b/modules/app/controlobserver.h
@@ -2,6 +2,7 @@
 
 #include <lagoonroute/control/controlevents.h>
 #include <lagoonroute/observation/metrics.h>
+#include <lagoonroute/observation/nodestatus.h>
 
 namespace lagoonroute
 {
@@ -10,8 +11,8 @@
 class ControlObserver
 {
 public:
-    /** Creates an observer that counts in the given registry, which must outlive it. */
-    explicit ControlObserver(MetricsRegistry &metrics);
+    /** Creates an observer that counts in the given registry; both arguments must outlive it. */
+    ControlObserver(MetricsRegistry &metrics, NodeStatus &status);
 
     /** Notes an action before it is carried out. */
     void observe(const ControlAction &action);
@@ -20,6 +21,7 @@
     void observeView(const ShardView &view, const char *event);
 
     MetricsRegistry &m_metrics;
+    NodeStatus &m_status;
     Counter &m_datagrams;
     Counter &m_storeCalls;
 };
--- a/modules/app/controlports.cpp
+++ b/modules/app/controlports.cpp
@@ -14,10 +14,13 @@
 
 } // namespace
 
-ControlPorts::ControlPorts(const Settings &settings, Incarnation incarnation, WakeSignal &signal)
+ControlPorts::ControlPorts(const Settings &settings, Incarnation incarnation, const std::shared_ptr<SharedStore> &store, WakeSignal &signal)
     : m_peers(PeerTransport::Options().withSelf(NodeId::fromName(settings.node), incarnation).withAddress(settings.peer), signal)
     , m_gossip(GossipTransport::Options().withAddress(settings.peer), signal)
 {
+    if (store) {
+        m_memoryStore = std::make_unique<MemoryStore>(store, signal);
+    }
 }
 
 void ControlPorts::perform(ControlAction &&action)
@@ -26,9 +29,18 @@
         m_gossip.send(std::move(*datagram));
     } else if (const auto *peer = std::get_if<PeerAddressKnown>(&action)) {
         m_peers.setPeer(peer->node, peer->address);
+    } else if (auto *message = std::get_if<SendConfigurationMessage>(&action)) {
+        m_peers.send(message->to, std::move(message->message));
+    } else if (auto *call = std::get_if<StoreCall>(&action)) {
+        callStore(std::move(*call));
     }
 }
 
+bool ControlPorts::callStore(StoreCall &&call)
+{
+    return m_memoryStore && m_memoryStore->submit(std::move(call));
+}
+
 void ControlPorts::send(SendMessage &&message)
 {
     m_peers.send(message.to, std::move(message.message));
@@ -39,7 +51,12 @@
     return m_peers.address();
 }
 
-ControlCore::Options controlOptionsOf(const Settings &settings, NodeRole role, Incarnation incarnation)
+bool usesStore(const Settings &settings, const std::shared_ptr<SharedStore> &store)
+{
+    return store != nullptr || settings.store.port != 0;
+}
+
+ControlCore::Options controlOptionsOf(const Settings &settings, NodeRole role, Incarnation incarnation, bool usesStore)
 {
     Member self;
     self.id = NodeId::fromName(settings.node);
@@ -50,7 +67,8 @@
     self.zone = settings.zone;
     self.rack = settings.rack;
     const auto membership = MembershipCore::Options().withSelf(std::move(self)).withCell(settings.cell).withSeed(incarnation);
-    return ControlCore::Options().withMembership(membership);
+    const ControlCore::Options options = ControlCore::Options().withMembership(membership);
+    return usesStore ? options.withStore(StoreClientCore::Options().withSeed(incarnation)) : options;
 }
 
 } // namespace lagoonroute
--- a/modules/app/controlports.h
+++ b/modules/app/controlports.h
@@ -2,10 +2,11 @@
 
 #include <lagoonroute/app/settings.h>
 #include <lagoonroute/control/controlcore.h>
+#include <lagoonroute/platform/memorystore.h>
 #include <lagoonroute/transport/gossiptransport.h>
 #include <lagoonroute/transport/peertransport.h>
 
-#include <optional>
+#include <memory>
 #include <utility>
 #include <variant>
 
@@ -17,7 +18,7 @@
 {
 public:
     /** Opens the sockets; `signal` is notified of every event. Throws NetworkError when an address is taken. */
-    ControlPorts(const Settings &settings, Incarnation incarnation, WakeSignal &signal);
+    ControlPorts(const Settings &settings, Incarnation incarnation, const std::shared_ptr<SharedStore> &store, WakeSignal &signal);
 
     /** Passes what has arrived to `consume` as events of the process. */
     template <typename DispatchEvent, typename Consumer>
@@ -27,13 +28,22 @@
         m_peers.drain([&consume](PeerEvent &&event) {
             if (auto *received = std::get_if<MessageReceived>(&event)) {
                 consume(Event(DispatchEvent(std::move(*received))));
+            } else if (auto *message = std::get_if<ConfigurationMessageReceived>(&event)) {
+                consume(Event(ControlEvent(std::move(*message))));
             } else {
                 consume(Event(DispatchEvent(std::get<ConnectionLost>(event))));
             }
         });
         m_gossip.drain([&consume](DatagramReceived &&datagram) { consume(Event(ControlEvent(std::move(datagram)))); });
+        const auto consumeReply = [&consume](StoreReply &&reply) { consume(Event(ControlEvent(std::move(reply)))); };
+        if (m_memoryStore) {
+            m_memoryStore->drain(consumeReply);
+        }
     }
 
+    /** Sends a call to the platform's store. Returns false, having sent nothing, when it is not to be had. */
+    bool callStore(StoreCall &&call);
+
     /** Carries out an action of the ControlCore. */
     void perform(ControlAction &&action);
 
@@ -46,9 +56,13 @@
 private:
     PeerTransport m_peers;
     GossipTransport m_gossip;
+    std::unique_ptr<MemoryStore> m_memoryStore;
 };
 
+/** Tells whether the process uses the platform's store: the given one, or the one that its settings name. */
+bool usesStore(const Settings &settings, const std::shared_ptr<SharedStore> &store);
+
 /** Returns the options of the ControlCore of one life of the process. */
-ControlCore::Options controlOptionsOf(const Settings &settings, NodeRole role, Incarnation incarnation);
+ControlCore::Options controlOptionsOf(const Settings &settings, NodeRole role, Incarnation incarnation, bool usesStore);
 
 } // namespace lagoonroute
--- a/modules/app/decisionthread.h
+++ b/modules/app/decisionthread.h
@@ -25,6 +25,9 @@
     {
         constCore.isDrained()
         } -> std::convertible_to<bool>;
+    {
+        constCore.isReady()
+        } -> std::convertible_to<bool>;
 };
 
 /** Adapters that bring events to a core and carry out its actions. */
@@ -91,6 +94,12 @@
         return m_drained;
     }
 
+    /** Whether the core has what it needs to serve. Callable from any thread. */
+    [[nodiscard]] bool isReady() const noexcept
+    {
+        return m_ready;
+    }
+
     /** Ends the thread at once. */
     void stop()
     {
@@ -120,6 +129,7 @@
                 decide(Core::elapsed());
             }
             m_drained = m_core.isDrained();
+            m_ready = m_core.isReady();
             m_signal.waitUntil(m_core.nextWake());
         }
     }
@@ -141,6 +151,7 @@
     std::vector<Action> m_actions;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_drained = false;
+    std::atomic<bool> m_ready = false;
     std::thread m_thread;
 };
 
--- a/modules/app/entrynode.cpp
+++ b/modules/app/entrynode.cpp
@@ -19,8 +19,8 @@
 class EntryPorts
 {
 public:
-    EntryPorts(const Settings &settings, NodeBase &base, WakeSignal &signal)
-        : m_control(settings, base.incarnation(), signal)
+    EntryPorts(const Settings &settings, NodeBase &base, const std::shared_ptr<SharedStore> &store, WakeSignal &signal)
+        : m_control(settings, base.incarnation(), store, signal)
         , m_callers(HttpServer::Options().withAddress(settings.http), base.pages(), signal)
     {
     }
@@ -37,6 +37,8 @@
         if (auto *control = std::get_if<ControlAction>(&action)) {
             if (const auto *rules = std::get_if<RulesChanged>(control)) {
                 m_callers.setRules(rules->rules);
+            } else if (const auto *removed = std::get_if<ServiceRemoved>(control)) {
+                m_callers.removeRules(removed->service);
             }
             m_control.perform(std::move(*control));
             return;
@@ -79,11 +81,14 @@
 class EntryNode::Implementation
 {
 public:
-    explicit Implementation(const Settings &settings)
+    Implementation(const Settings &settings, const std::shared_ptr<SharedStore> &store)
         : m_base(settings.node)
-        , m_observer(m_base.metrics())
-        , m_core(controlOptionsOf(settings, NodeRole::Entry, m_base.incarnation()), NodeId::fromName(settings.node), m_base.incarnation(), m_base.incarnation())
-        , m_ports(settings, m_base, m_signal)
+        , m_observer(m_base.metrics(), m_base.status())
+        , m_core(controlOptionsOf(settings, NodeRole::Entry, m_base.incarnation(), usesStore(settings, store)),
+                 NodeId::fromName(settings.node),
+                 m_base.incarnation(),
+                 m_base.incarnation())
+        , m_ports(settings, m_base, store, m_signal)
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         for (const ServiceRules &rules : settings.services) {
@@ -102,6 +107,21 @@
         return m_base;
     }
 
+    [[nodiscard]] bool isReady() const
+    {
+        return m_thread.isReady();
+    }
+
+    void withdraw()
+    {
+        m_thread.inject(ControlEvent(LeaveRequested{}));
+    }
+
+    void leave()
+    {
+        m_thread.inject(ControlEvent(LeaveCompleted{}));
+    }
+
     void drain()
     {
         m_thread.inject(EntryEvent(StopRequested{}));
@@ -127,8 +147,8 @@
     DecisionThread<EntryProcess, EntryPorts, EntryObserver> m_thread;
 };
 
-EntryNode::EntryNode(const Settings &settings)
-    : m_implementation(std::make_unique<Implementation>(settings))
+EntryNode::EntryNode(const Settings &settings, const std::shared_ptr<SharedStore> &store)
+    : m_implementation(std::make_unique<Implementation>(settings, store))
 {
 }
 
@@ -139,6 +159,21 @@
     m_implementation->base().status().setReady(ready);
 }
 
+bool EntryNode::isReady() const
+{
+    return m_implementation->isReady();
+}
+
+void EntryNode::withdraw()
+{
+    m_implementation->withdraw();
+}
+
+void EntryNode::leave()
+{
+    m_implementation->leave();
+}
+
 void EntryNode::drain()
 {
     m_implementation->drain();
--- a/modules/app/entryobserver.cpp
+++ b/modules/app/entryobserver.cpp
@@ -7,9 +7,9 @@
 namespace lagoonroute
 {
 
-EntryObserver::EntryObserver(MetricsRegistry &metrics)
+EntryObserver::EntryObserver(MetricsRegistry &metrics, NodeStatus &status)
     : m_metrics(metrics)
-    , m_control(metrics)
+    , m_control(metrics, status)
 {
 }
 
--- a/modules/app/entryobserver.h
+++ b/modules/app/entryobserver.h
@@ -19,8 +19,8 @@
 class EntryObserver
 {
 public:
-    /** Creates an observer that counts in the given registry, which must outlive it. */
-    explicit EntryObserver(MetricsRegistry &metrics);
+    /** Creates an observer that counts in the given registry; both arguments must outlive it. */
+    EntryObserver(MetricsRegistry &metrics, NodeStatus &status);
 
     /** Notes an event before the core handles it. */
     void observe(const EntryProcess::Event &event, Instant now);
--- a/modules/app/noderunner.h
+++ b/modules/app/noderunner.h
@@ -6,6 +6,7 @@
 #include <lagoonroute/observation/log.h>
 
 #include <concepts>
+#include <thread>
 
 namespace lagoonroute
 {
@@ -15,7 +16,12 @@
 concept StoppableNode = requires(Node node, const Node constNode)
 {
     node.setReady(true);
+    node.withdraw();
     node.drain();
+    node.leave();
+    {
+        constNode.isReady()
+        } -> std::convertible_to<bool>;
     {
         constNode.isDrained()
         } -> std::convertible_to<bool>;
@@ -29,13 +35,21 @@
 int runUntilStopped(Node &node, const ProcessLifecycle::Options &options)
 {
     constexpr Duration pollInterval = std::chrono::milliseconds(10);
+    constexpr Duration farewellTime = std::chrono::milliseconds(100);
     ProcessLifecycle lifecycle(options);
+    bool isSignalled = false;
+    while (!node.isReady() && !isSignalled) {
+        isSignalled = waitForStopSignal(pollInterval);
+    }
     lifecycle.started();
-    node.setReady(true);
-    logLine(LogLevel::Info, "serving", {});
-    waitForStopSignal();
+    if (!isSignalled) {
+        node.setReady(true);
+        logLine(LogLevel::Info, "serving", {});
+        waitForStopSignal();
+    }
 
     node.setReady(false);
+    node.withdraw();
     lifecycle.stopSignalled(MonotonicClock::now());
     logLine(LogLevel::Info, "planned stop begun", {});
     while (lifecycle.phase() != ProcessPhase::Stopped) {
@@ -49,6 +63,8 @@
             logLine(LogLevel::Info, "draining", {});
         }
     }
+    node.leave();
+    std::this_thread::sleep_for(farewellTime);
     if (lifecycle.wasCut()) {
         logLine(LogLevel::Error, "stopped with work left", {});
         return exitWorkCut;
--- a/modules/app/processcore.h
+++ b/modules/app/processcore.h
@@ -103,6 +103,18 @@
         return m_dispatch.isDrained();
     }
 
+    /** Whether the process has a configuration that it may serve under. */
+    [[nodiscard]] bool isReady() const
+    {
+        return m_control.isReady();
+    }
+
+    /** The ControlCore. */
+    [[nodiscard]] const ControlCore &control() const noexcept
+    {
+        return m_control;
+    }
+
     /** The core of dispatch. */
     [[nodiscard]] const Dispatch &dispatch() const noexcept
     {
--- a/modules/app/settings.cpp
+++ b/modules/app/settings.cpp
@@ -124,6 +124,9 @@
         if (object.contains("advertise")) {
             settings.advertise = addressOf(section(object, "advertise"));
         }
+        if (object.contains("store")) {
+            settings.store = addressOf(section(object, "store"));
+        }
         settings.cell = textOr(object, "cell", "default");
         for (const json::value &contact : list(object, "contacts")) {
             if (!contact.is_string()) {
--- a/modules/app/solo.cpp
+++ b/modules/app/solo.cpp
@@ -6,6 +6,8 @@
 #include <lagoonroute/app/entrynode.h>
 #include <lagoonroute/app/sampleupstream.h>
 #include <lagoonroute/base/errors.h>
+#include <lagoonroute/configuration/storedconfiguration.h>
+#include <lagoonroute/platform/memorystore.h>
 
 #include <iostream>
 #include <memory>
@@ -30,29 +32,52 @@
     return settings;
 }
 
+/** Puts a first configuration with these services into an empty store. */
+void storeConfiguration(const std::shared_ptr<SharedStore> &store, const std::vector<ServiceRules> &services)
+{
+    Configuration::Builder builder;
+    for (const ServiceRules &rules : services) {
+        builder.withService(rules);
+    }
+    AuditRecord audit;
+    audit.author = "solo";
+    audit.reason = "services of the settings";
+    audit.mark = "solo";
+    WakeSignal signal;
+    MemoryStore port(store, signal);
+    const StoredConfiguration first = succeeding(nullptr, builder.build(), audit);
+    port.submit(StoreCall{ .number = 1, .purpose = StorePurpose::Configuration, .operation = StoreSwap{ std::string(configurationKey), first.toText(), 0 } });
+}
+
 } // namespace
 
 void runSolo(const Settings &settings, std::size_t agents)
 {
     Settings shared = settings;
     shared.contacts.push_back(settings.peer);
-    const std::string firstAgent = agentSettings(shared, 1).node;
-    for (const ServiceRules &rules : settings.services) {
-        shared.views.push_back(ShardView{ { rules.name(), 0 }, 1, NodeId::fromName(firstAgent), NodeId{} });
-    }
+    const auto store = std::make_shared<SharedStore>();
+    storeConfiguration(store, settings.services);
 
     std::vector<std::unique_ptr<AgentNode>> agentNodes;
     std::vector<std::unique_ptr<SampleUpstream>> upstreams;
     for (std::size_t number = 1; number <= agents; ++number) {
-        agentNodes.push_back(std::make_unique<AgentNode>(agentSettings(shared, number)));
+        agentNodes.push_back(std::make_unique<AgentNode>(agentSettings(shared, number), store));
         upstreams.push_back(std::make_unique<SampleUpstream>(settings.http.ip));
-        for (const ServiceRules &rules : settings.services) {
-            upstreams.back()->announce(agentNodes.back()->httpAddress(), rules.name(), slotsPerAgent);
-        }
     }
-    const EntryNode entry(shared);
+    const auto announce = [&] {
+        for (std::size_t index = 0; index < agents; ++index) {
+            for (const ServiceRules &rules : settings.services) {
+                upstreams[index]->announce(agentNodes[index]->httpAddress(), rules.name(), slotsPerAgent);
+            }
+        }
+    };
+    announce();
+    EntryNode entry(shared, store);
+    entry.setReady(true);
     std::cout << "serving callers at " << entry.httpAddress().ip << ":" << entry.httpAddress().port << std::endl;
-    waitForStopSignal();
+    while (!waitForStopSignal(settings.offerLifetime / 3)) {
+        announce();
+    }
     std::uint64_t starts = 0;
     for (const auto &upstream : upstreams) {
         starts += upstream->starts();
--- a/modules/control/controlcore.cpp
+++ b/modules/control/controlcore.cpp
@@ -1,47 +1,121 @@
 #include <lagoonroute/control/controlcore.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lagoonroute
 {
 
+namespace
+{
+
+/** Homes of one service in a cell. */
+constexpr std::uint32_t shardsPerService = 1;
+
+} // namespace
+
 ControlCore::Options ControlCore::Options::withMembership(MembershipCore::Options options) const
 {
     Options changed = *this;
+    changed.views = changed.views.withSelf(options.self).withCell(options.cell).withSeed(options.seed);
+    changed.configuration = changed.configuration.withSelf(options.self.id, options.self.zone).withSeed(options.seed);
     changed.membership = std::move(options);
     return changed;
 }
 
+ControlCore::Options ControlCore::Options::withStore(StoreClientCore::Options options) const
+{
+    Options changed = *this;
+    changed.usesStore = true;
+    changed.store = options;
+    return changed;
+}
+
 ControlCore::ControlCore(const Options &options)
     : m_membership(options.membership)
+    , m_store(options.store)
 {
+    if (options.usesStore) {
+        m_configuration.emplace(options.configuration);
+    }
+    if (options.usesStore && options.membership.self.role == NodeRole::Agent) {
+        m_views.emplace(options.views);
+    }
 }
 
 void ControlCore::handle(const ControlEvent &event, Instant now, Actions &actions)
 {
     if (const auto *datagram = std::get_if<DatagramReceived>(&event)) {
         tellMembership(*datagram, now, actions);
+    } else if (const auto *message = std::get_if<ConfigurationMessageReceived>(&event)) {
+        tellConfiguration(*message, now, actions);
+    } else if (const auto *reply = std::get_if<StoreReply>(&event)) {
+        StoreClientCore::Actions store;
+        m_store.handle(*reply, now, store);
+        takeReplies(store, now, actions);
     } else if (const auto *contacts = std::get_if<ContactsKnown>(&event)) {
         tellMembership(*contacts, now, actions);
     } else if (const auto *offers = std::get_if<OffersChanged>(&event)) {
         m_offers = offers->offers;
-        tellMembership(LocalChanged{ m_offers, m_revision }, now, actions);
-        takeUpMember(m_membership.self(), m_workers.memberChanged(m_membership.self()), actions);
+        tellLocal(now, actions);
     } else if (const auto *lost = std::get_if<ConnectionLost>(&event)) {
         tellMembership(ProbeWanted{ lost->peer }, now, actions);
+    } else if (const auto *synchronised = std::get_if<MirrorSynchronised>(&event)) {
+        tellViews(*synchronised, now, actions);
+    } else if (std::holds_alternative<DrainRequested>(event)) {
+        tellViews(DrainRequested{}, now, actions);
     } else if (std::holds_alternative<LeaveRequested>(event)) {
         tellMembership(LeaveRequested{}, now, actions);
-        takeUpMember(m_membership.self(), m_workers.memberChanged(m_membership.self()), actions);
+        tellWorkers(m_workers.memberChanged(m_membership.self()), actions);
     } else if (std::holds_alternative<LeaveCompleted>(event)) {
         tellMembership(LeaveCompleted{}, now, actions);
-    } else if (std::holds_alternative<TimeElapsed>(event)) {
-        tellMembership(TimeElapsed{}, now, actions);
+    } else {
+        elapse(now, actions);
     }
 }
 
 std::optional<Instant> ControlCore::nextWake() const
 {
-    return m_membership.nextWake();
+    std::optional<Instant> earliest = m_membership.nextWake();
+    const auto consider = [&earliest](std::optional<Instant> wake) {
+        if (wake && (!earliest || *wake < *earliest)) {
+            earliest = wake;
+        }
+    };
+    consider(m_store.nextWake());
+    if (m_views) {
+        consider(m_views->nextWake());
+    }
+    if (m_configuration) {
+        consider(m_configuration->nextWake());
+    }
+    return earliest;
+}
+
+const std::map<ShardKey, ShardView> &ControlCore::views() const
+{
+    static const std::map<ShardKey, ShardView> none;
+    return m_views ? m_views->views() : none;
+}
+
+bool ControlCore::isHandedOver() const
+{
+    return !m_views || m_views->isDrained();
+}
+
+bool ControlCore::isReady() const
+{
+    return !m_configuration || m_configuration->isReady();
+}
+
+void ControlCore::elapse(Instant now, Actions &actions)
+{
+    StoreClientCore::Actions store;
+    m_store.elapse(now, store);
+    takeReplies(store, now, actions);
+    tellMembership(TimeElapsed{}, now, actions);
+    tellViews(TimeElapsed{}, now, actions);
+    tellConfiguration(ConfigurationTimeElapsed{}, now, actions);
 }
 
 void ControlCore::tellMembership(const MembershipEvent &event, Instant now, Actions &actions)
@@ -49,31 +123,162 @@
     std::vector<MembershipAction> produced;
     m_membership.handle(event, now, produced);
     for (MembershipAction &action : produced) {
-        takeUp(std::move(action), actions);
+        takeUp(std::move(action), now, actions);
+    }
+}
+
+void ControlCore::tellViews(const ViewEvent &event, Instant now, Actions &actions)
+{
+    if (!m_views) {
+        return;
+    }
+    std::vector<ViewAction> produced;
+    m_views->handle(event, now, produced);
+    for (ViewAction &action : produced) {
+        takeUp(std::move(action), now, actions);
+    }
+}
+
+void ControlCore::tellConfiguration(const ConfigurationEvent &event, Instant now, Actions &actions)
+{
+    if (!m_configuration) {
+        return;
+    }
+    std::vector<ConfigurationAction> produced;
+    m_configuration->handle(event, now, produced);
+    for (ConfigurationAction &action : produced) {
+        takeUp(std::move(action), now, actions);
     }
 }
 
-void ControlCore::takeUp(MembershipAction &&action, Actions &actions)
+void ControlCore::callStore(const StoreCall &call, Instant now, Actions &actions)
+{
+    StoreClientCore::Actions store;
+    m_store.submit(call, now, store);
+    takeReplies(store, now, actions);
+}
+
+void ControlCore::takeReplies(StoreClientCore::Actions &store, Instant now, Actions &actions)
+{
+    for (StoreCall &call : store.calls) {
+        actions.emplace_back(std::move(call));
+    }
+    for (const StoreReply &reply : store.replies) {
+        if (reply.purpose == StorePurpose::Configuration) {
+            tellConfiguration(ConfigurationStoreReplied{ reply }, now, actions);
+        } else {
+            tellViews(reply, now, actions);
+        }
+    }
+}
+
+void ControlCore::takeUp(MembershipAction &&action, Instant now, Actions &actions)
 {
     if (auto *datagram = std::get_if<SendDatagram>(&action)) {
         actions.emplace_back(std::move(*datagram));
     } else if (const auto *changed = std::get_if<MemberChanged>(&action)) {
-        takeUpMember(changed->member, m_workers.memberChanged(changed->member), actions);
+        changeMember(changed->member, now, actions);
     } else if (const auto *gone = std::get_if<MemberGone>(&action)) {
-        takeUpMember(gone->member, m_workers.memberGone(gone->member), actions);
+        endMember(gone->member, now, actions);
     } else if (const auto *spread = std::get_if<ViewSpread>(&action)) {
-        actions.emplace_back(ViewChanged{ spread->view });
+        if (m_views) {
+            tellViews(*spread, now, actions);
+        } else {
+            actions.emplace_back(ViewChanged{ spread->view });
+        }
     } else if (const auto *replaced = std::get_if<SelfReplaced>(&action)) {
         actions.emplace_back(*replaced);
     }
 }
 
-void ControlCore::takeUpMember(const Member &member, std::vector<WorkerNews> news, Actions &actions)
+void ControlCore::takeUp(ViewAction &&action, Instant now, Actions &actions)
+{
+    if (const auto *call = std::get_if<StoreCall>(&action)) {
+        callStore(*call, now, actions);
+    } else if (const auto *learned = std::get_if<ViewLearned>(&action)) {
+        tellMembership(*learned, now, actions);
+    } else if (auto *changed = std::get_if<ViewChanged>(&action)) {
+        actions.emplace_back(std::move(*changed));
+    } else if (auto *proposed = std::get_if<ViewProposed>(&action)) {
+        actions.emplace_back(std::move(*proposed));
+    } else if (auto *allowed = std::get_if<StartsAllowed>(&action)) {
+        actions.emplace_back(std::move(*allowed));
+    }
+}
+
+void ControlCore::takeUp(ConfigurationAction &&action, Instant now, Actions &actions)
+{
+    if (auto *message = std::get_if<SendConfigurationMessage>(&action)) {
+        actions.emplace_back(std::move(*message));
+    } else if (const auto *call = std::get_if<CallConfigurationStore>(&action)) {
+        callStore(call->call, now, actions);
+    } else if (auto *changed = std::get_if<ServiceRulesChanged>(&action)) {
+        m_shards[changed->rules.name()] = shardsPerService;
+        actions.emplace_back(RulesChanged{ std::move(changed->rules) });
+    } else if (auto *removed = std::get_if<ServiceRemoved>(&action)) {
+        m_shards.erase(removed->service);
+        actions.emplace_back(std::move(*removed));
+    } else if (const auto *inForce = std::get_if<RevisionInForce>(&action)) {
+        m_revision = inForce->revision;
+        actions.emplace_back(*inForce);
+        tellServices(now, actions);
+        tellLocal(now, actions);
+    } else if (auto *audit = std::get_if<AuditRecorded>(&action)) {
+        actions.emplace_back(std::move(*audit));
+    }
+}
+
+void ControlCore::changeMember(const Member &member, Instant now, Actions &actions)
 {
     actions.emplace_back(PeerAddressKnown{ member.id, member.address });
+    tellWorkers(m_workers.memberChanged(member), actions);
+    tellViews(MemberChanged{ member }, now, actions);
+    const ConfigurationPeer peer{ member.id, member.zone };
+    const auto [known, isNew] = m_peers.try_emplace(member.id, peer);
+    if (isNew || known->second != peer) {
+        known->second = peer;
+        tellPeers(now, actions);
+    }
+    tellConfiguration(PeerRevisionSeen{ member.id, member.configurationRevision }, now, actions);
+}
+
+void ControlCore::endMember(const Member &member, Instant now, Actions &actions)
+{
+    tellWorkers(m_workers.memberGone(member), actions);
+    tellViews(MemberGone{ member }, now, actions);
+    if (m_peers.erase(member.id) > 0) {
+        tellPeers(now, actions);
+    }
+}
+
+void ControlCore::tellWorkers(std::vector<WorkerNews> news, Actions &actions)
+{
     for (WorkerNews &item : news) {
         std::visit([&actions](auto &worker) { actions.emplace_back(std::move(worker)); }, item);
     }
 }
 
+void ControlCore::tellPeers(Instant now, Actions &actions)
+{
+    ConfigurationPeersChanged changed;
+    changed.peers.reserve(m_peers.size());
+    for (const auto &[id, peer] : m_peers) {
+        changed.peers.push_back(peer);
+    }
+    tellConfiguration(changed, now, actions);
+}
+
+void ControlCore::tellLocal(Instant now, Actions &actions)
+{
+    const LocalChanged local{ m_offers, m_revision };
+    tellMembership(local, now, actions);
+    tellViews(local, now, actions);
+    tellWorkers(m_workers.memberChanged(m_membership.self()), actions);
+}
+
+void ControlCore::tellServices(Instant now, Actions &actions)
+{
+    tellViews(ServicesConfigured{ m_shards }, now, actions);
+}
+
 } // namespace lagoonroute
--- a/modules/observation/log.cpp
+++ b/modules/observation/log.cpp
@@ -44,6 +44,13 @@
 {
 }
 
+LogField LogField::json(std::string_view fieldName, std::string text)
+{
+    LogField field(fieldName, 0);
+    field.value = std::move(text);
+    return field;
+}
+
 void startLogging(const std::string &node, const std::string &level)
 {
     auto logger = std::make_shared<spdlog::logger>("lagoonroute", std::make_shared<spdlog::sinks::stderr_sink_mt>());
--- a/modules/transport/messagecodec.cpp
+++ b/modules/transport/messagecodec.cpp
@@ -13,6 +13,24 @@
 
 } // namespace
 
+template <class Archive>
+void serialize(Archive &archive, AskConfiguration &value)
+{
+    archive(value.knownRevision);
+}
+
+template <class Archive>
+void serialize(Archive &archive, OfferConfiguration &value)
+{
+    archive(value.revision, value.document);
+}
+
+template <class Archive>
+void serialize(Archive &archive, PatchConfiguration &value)
+{
+    archive(value.from, value.revision, value.patch);
+}
+
 template <class Archive>
 void serialize(Archive &archive, Envelope &value)
 {
--- a/modules/transport/peertransport.cpp
+++ b/modules/transport/peertransport.cpp
@@ -45,7 +45,32 @@
     NodeAddress address;
 };
 
-using PeerCommand = std::variant<SendMessage, PeerAddressSet>;
+/** A message for a peer. */
+struct PeerSend
+{
+    NodeId to;
+    PeerMessage message;
+};
+
+using PeerCommand = std::variant<PeerSend, PeerAddressSet>;
+
+/** Returns the event of a message that has arrived. */
+PeerEvent eventOf(NodeId from, PeerMessage &&message)
+{
+    if (auto *dispatch = std::get_if<DispatchMessage>(&message)) {
+        return MessageReceived{ from, std::move(*dispatch) };
+    }
+    return ConfigurationMessageReceived{ from, std::get<ConfigurationMessage>(std::move(message)) };
+}
+
+/** Returns the message of an event that eventOf() made. */
+PeerMessage messageOf(PeerEvent &&event)
+{
+    if (auto *dispatch = std::get_if<MessageReceived>(&event)) {
+        return std::move(dispatch->message);
+    }
+    return std::get<ConfigurationMessageReceived>(std::move(event)).message;
+}
 
 } // namespace
 
@@ -152,11 +177,11 @@
         if (envelope.to != m_options.self) {
             return true;
         }
-        PeerEvent event = MessageReceived{ envelope.from, std::move(envelope.message) };
-        if (m_inbound.push(std::move(event))) {
+        PeerEvent event = eventOf(envelope.from, std::move(envelope.message));
+        if (m_inbound.offer(event)) {
             return true;
         }
-        envelope.message = std::move(std::get<MessageReceived>(event).message);
+        envelope.message = messageOf(std::move(event));
         return false;
     }
 
@@ -167,7 +192,7 @@
             if (const auto *set = std::get_if<PeerAddressSet>(&command)) {
                 setAddress(*set);
             } else {
-                send(std::get<SendMessage>(std::move(command)));
+                send(std::get<PeerSend>(std::move(command)));
             }
         });
     }
@@ -187,7 +212,7 @@
         }
     }
 
-    void send(SendMessage &&message)
+    void send(PeerSend &&message)
     {
         const NodeId to = message.to;
         const auto address = m_addresses.find(to);
@@ -260,9 +285,9 @@
     m_implementation->command(PeerAddressSet{ node, peerAddress });
 }
 
-bool PeerTransport::send(NodeId to, DispatchMessage message)
+bool PeerTransport::send(NodeId to, PeerMessage message)
 {
-    return m_implementation->command(SendMessage{ to, std::move(message) });
+    return m_implementation->command(PeerSend{ to, std::move(message) });
 }
 
 BoundedRing<PeerEvent> &PeerTransport::inbound()
