Processes reach the platform's store over HTTP; config commands

Cause: only solo had a store. Change: settings name the store; entry and agent use its HTTP adapter; the config commands are on the command line (--store).

--- a/modules/app/commandline.cpp
+++ b/modules/app/commandline.cpp
@@ -1,13 +1,18 @@
 #include <lagoonroute/app/commandline.h>
 
+#include "addresstext.h"
+#include "configcommand.h"
+#include "httprevisionreader.h"
 #include "noderunner.h"
 #include "solo.h"
 #include "stopsignal.h"
 #include "submitcommand.h"
+#include "waitingstore.h"
 
 #include <lagoonroute/app/agentnode.h>
 #include <lagoonroute/app/entrynode.h>
 #include <lagoonroute/base/errors.h>
+#include <lagoonroute/http/httpstore.h>
 #include <lagoonroute/observation/log.h>
 
 #include <gflags/gflags.h>
@@ -19,6 +24,7 @@
 #include <vector>
 
 DEFINE_string(settings, "", "Settings file of the process (JSON with comments).");
+DEFINE_string(store, "127.0.0.1:7300", "Address of the platform's store, for the config commands.");
 DEFINE_uint32(agents, 3, "Number of agents in solo mode, from 1 to 50.");
 
 namespace lagoonroute
@@ -28,17 +34,18 @@
 {
 
 constexpr int exitUsage = 2;
+constexpr Duration storeTimeout = std::chrono::seconds(5);
 
 /** A command of the program: what the user types, what it does, and the function that does it. */
 struct Command
 {
     std::string name;
     std::string summary;
-    std::function<int()> run;
+    std::function<int(const std::vector<std::string> &arguments)> run; /**< The arguments begin with the command's name. */
 };
 
 template <typename Node>
-int runNode()
+int runNode(const std::vector<std::string> & /*arguments*/)
 {
     const Settings settings = Settings::fromFile(FLAGS_settings);
     startLogging(settings.node, settings.logLevel);
@@ -47,7 +54,7 @@
     return runUntilStopped(node, ProcessLifecycle::Options().withWithdrawTime(settings.withdrawTime).withDrainLimit(settings.drainLimit));
 }
 
-int runSoloCommand()
+int runSoloCommand(const std::vector<std::string> & /*arguments*/)
 {
     const Settings settings = Settings::fromFile(FLAGS_settings);
     startLogging(settings.node, settings.logLevel);
@@ -56,13 +63,26 @@
     return 0;
 }
 
+int runConfig(const std::vector<std::string> &arguments)
+{
+    WakeSignal signal;
+    HttpStore port(HttpStore::Options().withServer(addressFromText(FLAGS_store)), signal);
+    WaitingStore store(port, signal, storeTimeout);
+    HttpRevisionReader reader;
+    const ConfigOptions options = ConfigOptions::fromFlags({ arguments.begin() + 1, arguments.end() });
+    return static_cast<int>(runConfigCommand(options, ConfigPorts::of(store, reader, std::cout, std::cerr)));
+}
+
 const std::vector<Command> &commands()
 {
     static const std::vector<Command> all{
         { "entry", "serve callers (--settings)", runNode<EntryNode> },
         { "agent", "serve the upstream on this host (--settings)", runNode<AgentNode> },
         { "solo", "run an entry, agents and sample upstreams in one process (--settings, --agents)", runSoloCommand },
-        { "submit", "submit a job and print its outcome (--service, --job, --entries, --key, --caller)", runSubmitCommand },
+        { "submit",
+          "submit a job and print its outcome (--service, --job, --entries, --key, --caller)",
+          [](const std::vector<std::string> &) { return runSubmitCommand(); } },
+        { "config", "check, compare, submit or look up the configuration (--store; \"lagoonroute config\" lists the commands)", runConfig },
     };
     return all;
 }
@@ -89,7 +109,7 @@
         return exitUsage;
     }
     try {
-        return command->run();
+        return command->run({ argv + 1, argv + argc });
     } catch (const Error &error) {
         std::cerr << "lagoonroute: " << error.what() << "\n";
         return 1;
--- a/modules/app/controlports.cpp
+++ b/modules/app/controlports.cpp
@@ -20,6 +20,8 @@
 {
     if (store) {
         m_memoryStore = std::make_unique<MemoryStore>(store, signal);
+    } else if (settings.store.port != 0) {
+        m_httpStore = std::make_unique<HttpStore>(HttpStore::Options().withServer(settings.store), signal);
     }
 }
 
@@ -38,7 +40,10 @@
 
 bool ControlPorts::callStore(StoreCall &&call)
 {
-    return m_memoryStore && m_memoryStore->submit(std::move(call));
+    if (m_memoryStore) {
+        return m_memoryStore->submit(std::move(call));
+    }
+    return m_httpStore && m_httpStore->submit(std::move(call));
 }
 
 void ControlPorts::send(SendMessage &&message)
--- a/modules/app/controlports.h
+++ b/modules/app/controlports.h
@@ -2,6 +2,7 @@
 
 #include <lagoonroute/app/settings.h>
 #include <lagoonroute/control/controlcore.h>
+#include <lagoonroute/http/httpstore.h>
 #include <lagoonroute/platform/memorystore.h>
 #include <lagoonroute/transport/gossiptransport.h>
 #include <lagoonroute/transport/peertransport.h>
@@ -39,6 +40,9 @@
         if (m_memoryStore) {
             m_memoryStore->drain(consumeReply);
         }
+        if (m_httpStore) {
+            m_httpStore->drain(consumeReply);
+        }
     }
 
     /** Sends a call to the platform's store. Returns false, having sent nothing, when it is not to be had. */
@@ -57,6 +61,7 @@
     PeerTransport m_peers;
     GossipTransport m_gossip;
     std::unique_ptr<MemoryStore> m_memoryStore;
+    std::unique_ptr<HttpStore> m_httpStore;
 };
 
 /** Tells whether the process uses the platform's store: the given one, or the one that its settings name. */
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t zones = 3;
 constexpr std::size_t agentsPerRack = 3;
 constexpr std::chrono::seconds fetchTimeout{ 2 };
+constexpr std::chrono::milliseconds withdrawTime{ 300 };
 
 /** Returns an IP number of the loopback network that no other test runner uses meanwhile. */
 std::string ownIp()
@@ -74,6 +75,13 @@
     return changed;
 }
 
+Deployment::Options Deployment::Options::withStore() const
+{
+    Options changed = *this;
+    changed.store = true;
+    return changed;
+}
+
 Deployment::Deployment(const Options &options)
     : m_options(options)
     , m_folder(std::filesystem::temp_directory_path() / ("lagoonroute-" + std::to_string(getpid())))
@@ -81,6 +89,9 @@
     , m_nextPort(firstPort)
 {
     std::filesystem::create_directories(m_folder);
+    if (options.store) {
+        startStore();
+    }
     for (std::size_t index = 0; index < options.agents; ++index) {
         plan("agent-", index, false);
     }
@@ -105,6 +116,7 @@
     }
     for (const auto &[name, node] : m_nodes) {
         waitUntilReady(name);
+        waitUntilWorkersKnown(node);
     }
     m_caller = std::make_unique<Caller>(std::move(entries), options.seed);
 }
@@ -125,7 +137,7 @@
 
 ChildProcess &Deployment::process(const std::string &name)
 {
-    return *m_nodes.at(name).process;
+    return name == "store" ? *m_store : *m_nodes.at(name).process;
 }
 
 void Deployment::restart(const std::string &name)
@@ -136,6 +148,50 @@
     waitUntilReady(name);
 }
 
+std::string Deployment::home(const std::string &entry)
+{
+    std::ifstream log(file(m_nodes.at(entry), ".log"));
+    std::string home;
+    for (std::string line; std::getline(log, line);) {
+        json::error_code error;
+        const json::value document = json::parse(line, error);
+        const json::object *fields = document.if_object();
+        if (fields == nullptr || !fields->contains("home")) {
+            continue;
+        }
+        for (const auto &[name, node] : m_nodes) {
+            const std::uint64_t id = NodeId::fromName(name).value;
+            const json::value &number = fields->at("home");
+            if (number.is_int64() ? number.get_int64() == static_cast<std::int64_t>(id) : number.is_uint64() && number.get_uint64() == id) {
+                home = name;
+            }
+        }
+    }
+    return home;
+}
+
+std::size_t Deployment::logged(const std::string &name, const std::string &text)
+{
+    std::ifstream log(file(m_nodes.at(name), ".log"));
+    std::size_t count = 0;
+    for (std::string line; std::getline(log, line);) {
+        count += line.find(text) == std::string::npos ? 0 : 1;
+    }
+    return count;
+}
+
+std::vector<std::string> Deployment::neighbours(const std::string &name, bool inRack) const
+{
+    const Node &here = m_nodes.at(name);
+    std::vector<std::string> names;
+    for (const auto &[other, node] : m_nodes) {
+        if (node.zone == here.zone && (!inRack || node.rack == here.rack)) {
+            names.push_back(other);
+        }
+    }
+    return names;
+}
+
 FaultProxy &Deployment::proxy(const std::string &name)
 {
     return *m_nodes.at(name).proxy;
@@ -151,6 +207,15 @@
     m_upstreams.at(agent).reset();
 }
 
+void Deployment::killHost(const std::string &name)
+{
+    process(name).signal(SIGKILL);
+    const std::string prefix = "agent-";
+    if (name.starts_with(prefix)) {
+        killUpstream(std::stoul(name.substr(prefix.size())));
+    }
+}
+
 Caller &Deployment::caller()
 {
     return *m_caller;
@@ -192,6 +257,17 @@
     });
 }
 
+void Deployment::waitUntilWorkersKnown(const Node &node)
+{
+    for (const auto &[name, other] : m_nodes) {
+        if (node.isEntry || other.isEntry || name == node.name) {
+            continue;
+        }
+        const std::string text = "\"worker\":" + std::to_string(static_cast<std::int64_t>(NodeId::fromName(name).value));
+        waitUntil([&] { return logged(node.name, text) > 0; }, node.name + " to know the worker of " + name);
+    }
+}
+
 Evidence Deployment::evidence() const
 {
     Evidence evidence;
@@ -217,31 +293,41 @@
 
 void Deployment::writeSettings(const Node &node) const
 {
-    json::array members;
+    json::array contacts;
     for (const auto &[name, other] : m_nodes) {
-        const bool direct = !other.proxy || name == node.name;
-        json::object member{ { "node", name },
-                             { "role", other.isEntry ? "entry" : "agent" },
-                             { "zone", other.zone },
-                             { "rack", other.rack },
-                             { "peer", jsonOf(direct ? other.peer : other.proxy->address()) } };
-        if (!other.isEntry) {
-            member["offers"] = json::array{ { { "service", "booking" }, { "slots", m_options.slots }, { "connections", m_options.slots } } };
-        }
-        members.push_back(std::move(member));
+        const NodeAddress address = other.proxy ? other.proxy->address() : other.peer;
+        contacts.emplace_back(address.ip + ":" + std::to_string(address.port));
     }
-    json::object view{ { "service", "booking" }, { "home", "agent-0" } };
-    if (m_options.agents > 1) {
-        view["mirror"] = "agent-1";
+    json::object settings{ { "node", node.name },
+                           { "peer", jsonOf(node.peer) },
+                           { "http", jsonOf(node.http) },
+                           { "zone", node.zone },
+                           { "rack", node.rack },
+                           { "contacts", std::move(contacts) },
+                           { "services", json::array{ { { "name", "booking" } } } },
+                           { "withdrawMs", withdrawTime.count() } };
+    if (node.proxy) {
+        settings["advertise"] = jsonOf(node.proxy->address());
+    }
+    if (m_options.store) {
+        settings["store"] = jsonOf(m_storeAddress);
+    } else {
+        json::object view{ { "service", "booking" }, { "home", "agent-0" } };
+        if (m_options.agents > 1) {
+            view["mirror"] = "agent-1";
+        }
+        settings["views"] = json::array{ std::move(view) };
     }
-    const json::object settings{
-        { "withdrawMs", 300 },           { "node", node.name }, { "peer", jsonOf(node.peer) },     { "http", jsonOf(node.http) },
-        { "zone", node.zone },           { "rack", node.rack }, { "members", std::move(members) }, { "services", json::array{ { { "name", "booking" } } } },
-        { "views", json::array{ view } }
-    };
     std::ofstream(file(node, ".json")) << json::serialize(settings);
 }
 
+void Deployment::startStore()
+{
+    m_storeAddress = nextAddress();
+    const std::vector<std::string> command{ LAGOONROUTE_STORE_PROGRAM, "--ip", m_storeAddress.ip, "--port", std::to_string(m_storeAddress.port) };
+    m_store = std::make_unique<ChildProcess>(command, (m_folder / "store.log").string());
+}
+
 void Deployment::start(Node &node)
 {
     const std::vector<std::string> command{ LAGOONROUTE_PROGRAM, node.isEntry ? "entry" : "agent", "--settings", file(node, ".json").string() };
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -30,12 +30,14 @@
         std::uint16_t slots = 4;
         std::uint64_t seed = 1;
         bool proxied = false; /**< Puts a FaultProxy before each process. */
+        bool store = false; /**< Keeps views in a stand-in store, the process named "store"; otherwise they are fixed. */
 
         Options withEntries(std::size_t value) const;
         Options withAgents(std::size_t value) const;
         Options withSlots(std::uint16_t value) const;
         Options withSeed(std::uint64_t value) const;
         Options withProxies() const;
+        Options withStore() const;
     };
 
     /** Starts every process and upstream, and waits until all serve. */
@@ -51,6 +53,15 @@
     /** Starts a process again that has ended, under its own settings, and waits until it serves. */
     void restart(const std::string &name);
 
+    /** Name of the agent that is home, as the entry knows it; empty while it knows none. */
+    std::string home(const std::string &entry = "entry-0");
+
+    /** Number of lines in the log of the process that contain the text. */
+    std::size_t logged(const std::string &name, const std::string &text);
+
+    /** Names of the processes in the availability zone of the given process; `inRack` limits them to its rack. */
+    [[nodiscard]] std::vector<std::string> neighbours(const std::string &name, bool inRack) const;
+
     /** Proxy before the process of that name. */
     FaultProxy &proxy(const std::string &name);
 
@@ -60,6 +71,9 @@
     /** Ends the upstream as a worker that dies does. */
     void killUpstream(std::size_t agent);
 
+    /** Kills the process and, beside an agent, its upstream, as a host that dies does. */
+    void killHost(const std::string &name);
+
     /** Every caller of the run. */
     Caller &caller();
 
@@ -95,14 +109,18 @@
     void plan(const std::string &prefix, std::size_t index, bool isEntry);
     void writeSettings(const Node &node) const;
     void start(Node &node);
+    void startStore();
     [[nodiscard]] std::filesystem::path file(const Node &node, const char *suffix) const;
     [[nodiscard]] NodeAddress nextAddress();
+    void waitUntilWorkersKnown(const Node &node);
     void printLogs() const;
 
     Options m_options;
     std::filesystem::path m_folder;
     std::string m_ip;
     std::uint16_t m_nextPort;
+    NodeAddress m_storeAddress;
+    std::unique_ptr<ChildProcess> m_store;
     std::map<std::string, Node> m_nodes;
     StartLog m_log;
     std::vector<std::unique_ptr<StandInUpstream>> m_upstreams;
--- a/tests/harness/faultproxy.cpp
+++ b/tests/harness/faultproxy.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <thread>
@@ -159,6 +160,20 @@
     }
 
 private:
+    /** Datagrams between one sender and the target. */
+    struct Session
+    {
+        udp::socket socket;
+        udp::endpoint sender;
+        std::array<char, chunkBytes> buffer{};
+    };
+
+    struct Datagram
+    {
+        std::shared_ptr<Session> from;
+        std::string content;
+    };
+
     void accept()
     {
         m_acceptor.async_accept([this](const ErrorCode &error, tcp::socket socket) {
@@ -175,33 +190,55 @@
     {
         m_datagrams.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](const ErrorCode &error, std::size_t size) {
             if (!error) {
-                pass(std::string(m_buffer.data(), size));
+                pass(Datagram{ sessionOf(m_sender), std::string(m_buffer.data(), size) });
             }
             receive();
         });
     }
 
-    void pass(std::string datagram)
+    /** Returns the socket that stands for the sender towards the target, and takes the target's replies. */
+    std::shared_ptr<Session> sessionOf(const udp::endpoint &sender)
+    {
+        std::shared_ptr<Session> &session = m_sessions[sender];
+        if (!session) {
+            session = std::make_shared<Session>(Session{ udp::socket(m_loop, udp::endpoint(m_datagrams.local_endpoint().address(), 0)), sender });
+            receiveReply(session);
+        }
+        return session;
+    }
+
+    void receiveReply(const std::shared_ptr<Session> &session)
+    {
+        session->socket.async_receive(boost::asio::buffer(session->buffer), [this, session](const ErrorCode &error, std::size_t size) {
+            if (!error && !m_faults.cut && !m_faults.halfOpen) {
+                ErrorCode ignored;
+                m_datagrams.send_to(boost::asio::buffer(session->buffer, size), session->sender, 0, ignored);
+            }
+            receiveReply(session);
+        });
+    }
+
+    void pass(Datagram datagram)
     {
         const auto draw = [this] { return std::uniform_real_distribution<double>(0, 1)(m_random); };
         if (m_faults.cut || m_faults.halfOpen || draw() < m_faults.datagramLoss) {
             return;
         }
-        if (m_held.empty() && draw() < m_faults.datagramReorder) {
+        if (!m_held && draw() < m_faults.datagramReorder) {
             m_held = std::move(datagram);
             return;
         }
         forward(std::move(datagram));
-        if (!m_held.empty()) {
-            forward(std::exchange(m_held, {}));
+        if (m_held) {
+            forward(*std::exchange(m_held, std::nullopt));
         }
     }
 
-    void forward(std::string datagram)
+    void forward(Datagram datagram)
     {
         later(m_loop, m_faults.delay, [this, datagram = std::move(datagram)] {
             ErrorCode ignored;
-            m_datagrams.send_to(boost::asio::buffer(datagram), udp::endpoint(m_target.address(), m_target.port()), 0, ignored);
+            datagram.from->socket.send_to(boost::asio::buffer(datagram.content), udp::endpoint(m_target.address(), m_target.port()), 0, ignored);
         });
     }
 
@@ -213,7 +250,8 @@
     udp::socket m_datagrams;
     udp::endpoint m_sender;
     std::array<char, chunkBytes> m_buffer{};
-    std::string m_held;
+    std::optional<Datagram> m_held;
+    std::map<udp::endpoint, std::shared_ptr<Session>> m_sessions;
     std::set<std::weak_ptr<Relay>, std::owner_less<std::weak_ptr<Relay>>> m_relays;
     std::thread m_thread;
 };
