A queue that was empty starts at the present time

Cause: the tag of the last task taken began at zero and moved by one second with each task, so that on a host with an uptime of N seconds the first N tasks had equal places and callers were served by their numbers.

Change: a task that enters an empty queue brings the tag to its own time.

--- a/modules/placement/fairqueue.cpp
+++ b/modules/placement/fairqueue.cpp
@@ -238,6 +238,9 @@
 {
     m_private->forgetIdleCallers();
     Caller &caller = m_private->callerNamed(task.demand.caller);
+    if (m_private->entries.empty()) {
+        m_private->lastTag = std::max(m_private->lastTag, task.enqueued);
+    }
     const Instant arrival = std::min(task.enqueued, m_private->lastTag + m_private->options.tolerance);
     const Duration sizeDelay(static_cast<Duration::rep>(m_private->options.sizeWeight * static_cast<double>(task.estimate.count())));
     const Instant key = std::min(arrival + sizeDelay, task.demand.startBy - task.estimate - m_private->options.patience);
--- a/modules/placement/tests/fairqueuetest.cpp
+++ b/modules/placement/tests/fairqueuetest.cpp
@@ -34,6 +34,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(KeepsTheOrderOfArrivalWhateverTheClockReads)
+{
+    FairQueue queue(FairQueue::Options{});
+    queue.setSlots(10);
+    for (const Duration start : { Duration(5ms), Duration(24h), Duration(1000h) }) {
+        for (const char *caller : { "a", "b" }) {
+            queue.push(waitingTask(0, caller, start, 2000h));
+            BOOST_TEST(queue.takeFirst(anyTask).has_value());
+        }
+        queue.push(waitingTask(1, "b", start + 10ms, 2000h));
+        queue.push(waitingTask(2, "a", start + 20ms, 2000h));
+        BOOST_TEST(queue.takeFirst(anyTask)->demand.caller == "b");
+        BOOST_TEST(queue.takeFirst(anyTask)->demand.caller == "a");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(SharesByWeightAndAFloodHoldsNobodyUp)
 {
     FairQueue queue(FairQueue::Options{});
