--- a/benchmarks/policy/centralqueue.cpp
+++ b/benchmarks/policy/centralqueue.cpp
@@ -26,7 +26,9 @@
         longest = std::max(longest, item.work);
         const bool isLastOfJob = index + 1 == items.size() || items[index + 1].job != item.job;
         if (isLastOfJob) {
-            result.added.push_back(lastEnd - item.arrival - longest);
+            if (item.caller != floodCaller) {
+                result.added.push_back(lastEnd - item.arrival - longest);
+            }
             lastEnd = Instant{};
             longest = Duration{ 0 };
         }
--- a/benchmarks/policy/main.cpp
+++ b/benchmarks/policy/main.cpp
@@ -34,6 +34,8 @@
              { .name = "60 %, straggler x4", .load = 0.6, .slowdown = 4 },
              { .name = "80 %, straggler x4", .load = 0.8, .slowdown = 4 },
              { .name = "60 %, failing worker", .load = 0.6, .failingWorker = true },
+             { .name = "60 %, refusing worker", .load = 0.6, .refusingWorker = true },
+             { .name = "60 %, flood", .load = 0.6, .flood = true },
              { .name = "90 %, wrong declarations", .load = 0.9, .wrongDeclarations = true } };
 }
 
--- a/benchmarks/policy/policyrun.cpp
+++ b/benchmarks/policy/policyrun.cpp
@@ -11,9 +11,9 @@
 
 constexpr std::uint64_t schedulerSeed = 7;
 constexpr std::uint32_t slowWorker = 3;
-constexpr std::uint32_t failingWorker = 5;
-constexpr Instant failuresFrom{ std::chrono::seconds(10) };
-constexpr Instant failuresUntil{ std::chrono::seconds(40) };
+constexpr std::uint32_t sickWorker = 5;
+constexpr Instant sickFrom{ std::chrono::seconds(10) };
+constexpr Instant sickUntil{ std::chrono::seconds(40) };
 constexpr Duration failureTime = std::chrono::milliseconds(5);
 constexpr Duration deadline = std::chrono::seconds(60);
 constexpr std::uint32_t workersPerRack = 3;
@@ -130,6 +130,10 @@
 void PolicyRun<Policy>::startAt(std::uint32_t task, std::uint32_t worker)
 {
     Executor &executor = m_executors[worker];
+    if (m_scenario.refusingWorker && isSick(worker)) {
+        post(m_now + hopTo(worker), Kind::Refusal, task, worker);
+        return;
+    }
     if (executor.running < m_deployment.slots) {
         execute(task, worker);
         return;
@@ -226,7 +230,7 @@
     ++m_result.tasks;
     m_result.failedTasks += failed ? 1 : 0;
     job.failed = job.failed || failed;
-    if (--job.unsettled > 0 || job.failed) {
+    if (--job.unsettled > 0 || job.failed || item.caller == floodCaller) {
         return;
     }
     const Duration added = m_now + m_deployment.hop - item.arrival - job.longest;
@@ -265,7 +269,13 @@
 template <PlacementPolicy Policy>
 bool PolicyRun<Policy>::fails(std::uint32_t worker) const
 {
-    return m_scenario.failingWorker && worker == failingWorker && m_now >= failuresFrom && m_now < failuresUntil;
+    return m_scenario.failingWorker && isSick(worker);
+}
+
+template <PlacementPolicy Policy>
+bool PolicyRun<Policy>::isSick(std::uint32_t worker) const
+{
+    return worker == sickWorker && m_now >= sickFrom && m_now < sickUntil;
 }
 
 template class PolicyRun<LateBinding>;
--- a/benchmarks/policy/policyrun.h
+++ b/benchmarks/policy/policyrun.h
@@ -81,6 +81,7 @@
     [[nodiscard]] TaskDemand demandOf(std::uint32_t task) const;
     [[nodiscard]] Duration runTimeOf(std::uint32_t task, std::uint32_t worker) const;
     [[nodiscard]] bool fails(std::uint32_t worker) const;
+    [[nodiscard]] bool isSick(std::uint32_t worker) const;
 
     Deployment m_deployment;
     Scenario m_scenario;
--- a/benchmarks/policy/workload.cpp
+++ b/benchmarks/policy/workload.cpp
@@ -21,6 +21,9 @@
 constexpr double burstInterval = 5; // seconds
 constexpr std::uint16_t burstTasks = 100;
 constexpr double largestError = 20;
+constexpr double floodStart = 10; // seconds
+constexpr std::uint16_t floodTasks = 500;
+constexpr int floodJobs = 10;
 
 Duration seconds(double value)
 {
@@ -78,24 +81,28 @@
     items.reserve(tasks);
     double now = 0;
     double nextBurst = burstInterval;
+    int floodJobsLeft = scenario.flood ? floodJobs : 0;
     std::uint32_t job = 0;
-    const auto add = [&](std::uint32_t caller, std::uint16_t jobSize) {
-        const Duration work = draw.work();
-        const double error = scenario.wrongDeclarations ? std::exp(draw.uniform(-1, 1) * std::log(largestError)) : 1;
-        const Duration declared(static_cast<Duration::rep>(static_cast<double>(work.count()) * error));
-        items.push_back(WorkItem{ job, Instant(seconds(now)), work, declared, caller, jobSize });
+    const auto addJob = [&](std::uint32_t caller, std::uint16_t jobSize) {
+        for (std::uint16_t index = 0; index < jobSize; ++index) {
+            const Duration work = draw.work();
+            const double error = scenario.wrongDeclarations ? std::exp(draw.uniform(-1, 1) * std::log(largestError)) : 1;
+            const Duration declared(static_cast<Duration::rep>(static_cast<double>(work.count()) * error));
+            items.push_back(WorkItem{ job, Instant(seconds(now)), work, declared, caller, jobSize });
+        }
+        ++job;
     };
     while (items.size() < tasks) {
         now += draw.exponential(interval);
         if (scenario.bursts && now >= nextBurst) {
             nextBurst += burstInterval;
-            for (std::uint16_t index = 0; index < burstTasks; ++index) {
-                add(callers, burstTasks);
-            }
-            ++job;
+            addJob(callers, burstTasks);
         }
-        add(static_cast<std::uint32_t>(draw.uniform(0, callers)), 1);
-        ++job;
+        if (now >= floodStart && floodJobsLeft > 0) {
+            --floodJobsLeft;
+            addJob(floodCaller, floodTasks);
+        }
+        addJob(static_cast<std::uint32_t>(draw.uniform(0, callers)), 1);
     }
     return items;
 }
--- a/benchmarks/policy/workload.h
+++ b/benchmarks/policy/workload.h
@@ -44,9 +44,14 @@
     bool bursts = false; /**< Jobs of 100 tasks every five seconds on top. */
     bool wrongDeclarations = false; /**< Declared run times are off by factors of up to 20 either way. */
     double slowdown = 1; /**< Of one worker, from the start. */
+    bool flood = false; /**< One caller submits 5000 tasks within the eleventh second. */
+    bool refusingWorker = false; /**< One worker refuses every task, from the tenth second to the fortieth. */
     bool failingWorker = false; /**< One worker fails every task after 5 ms, from the tenth second to the fortieth. */
 };
 
+/** Caller of the flood; its jobs are left out of the response times. */
+inline constexpr std::uint32_t floodCaller = 1000;
+
 /** Draws the tasks of a scenario, in order of their arrival. The same seed gives the same tasks. */
 std::vector<WorkItem> drawWorkload(const Deployment &deployment, const Scenario &scenario, std::size_t tasks, std::uint64_t seed);
 
--- a/benchmarks/tests/policyboundstest.cpp
+++ b/benchmarks/tests/policyboundstest.cpp
@@ -63,9 +63,27 @@
     for (const double load : { 0.3, 0.6, 0.9 }) {
         forEachRun({ .load = load }, 1, [](const Deployment &, const auto &, const RunResult &result) { BOOST_TEST(result.wastedPerTask() <= 0.01); });
     }
+    const Scenario refusing{ .load = 0.6, .refusingWorker = true };
+    forEachRun(refusing, 1, [](const Deployment &, const auto &, const RunResult &result) {
+        BOOST_TEST_MESSAGE(result.wastedMessages << " wasted messages for a worker that refuses");
+        BOOST_TEST(result.wastedMessages > 0U);
+        BOOST_TEST(result.wastedPerTask() <= 0.01);
+    });
     forEachRun({ .load = 0.01 }, 1, [](const Deployment &, const auto &, const RunResult &result) { BOOST_TEST(result.wastedMessages == 0U); });
 }
 
+BOOST_AUTO_TEST_CASE(AFloodHoldsOtherCallersUpBrieflyOnly)
+{
+    forEachRun({ .load = 0.6, .flood = true }, 1, [](const Deployment &deployment, const auto &items, const RunResult &result) {
+        const Percentiles added = Percentiles::of(result.added);
+        const Percentiles central = Percentiles::of(runCentralQueue(deployment, items).added);
+        BOOST_TEST_MESSAGE("p99.9 " << added.p999.count() << " us, first come, first served " << central.p999.count() << " us");
+        const Duration twoTolerances = 2 * FairQueue::Options{}.tolerance;
+        BOOST_TEST(added.p999.count() <= twoTolerances.count());
+        BOOST_TEST(central.p999.count() > twoTolerances.count());
+    });
+}
+
 BOOST_AUTO_TEST_CASE(EjectionAndStragglerRulesTakeEffect)
 {
     const EjectionRules neverEject = EjectionRules{}.withFailurePercentAboveFleet(100);
--- a/modules/placement/workerhealth.cpp
+++ b/modules/placement/workerhealth.cpp
@@ -180,7 +180,8 @@
 {
     const auto ejected = std::count_if(m_records.begin(), m_records.end(), [](const auto &item) { return item.second.phase == Phase::Ejected; });
     const auto workers = static_cast<double>(m_records.size());
-    const double allowed = std::min(workers - 1, std::max(1.0, std::floor(workers * m_ejection.largestEjectedPercent / percent)));
+    const double share = std::floor(workers * m_ejection.largestEjectedPercent / percent);
+    const double allowed = m_ejection.largestEjectedPercent == 0 ? 0 : std::min(workers - 1, std::max(1.0, share));
     return static_cast<double>(ejected) + 1 <= allowed;
 }
 
