--- a/modules/membership/tests/membershipcoretest.cpp
+++ b/modules/membership/tests/membershipcoretest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace lagoonroute;
 
 BOOST_AUTO_TEST_SUITE(MembershipCoreTest)
@@ -93,7 +95,7 @@
     replacement.name = "agent-replacement";
     replacement.id = NodeId::fromName(replacement.name);
     cell.start(replacement);
-    cell.run(settleTime);
+    cell.run(std::chrono::milliseconds(1500)); // Less than a probe and the time to refute, which would find it as well.
     BOOST_TEST(cell.allBelieve(Cell::describe(5).id, MemberStatus::Dead));
     BOOST_TEST(cell.allBelieve(replacement.id, MemberStatus::Alive));
 }
@@ -125,6 +127,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(BrokenLinkBetweenTwoProcessesAccusesNeither)
+{
+    SettledCell cell;
+    const std::set<NodeAddress> pair{ Cell::describe(1).address, Cell::describe(2).address };
+    cell.faults.isCut = [pair](const NodeAddress &from, const NodeAddress &to) { return pair.count(from) == 1 && pair.count(to) == 1; };
+    cell.run(std::chrono::minutes(1));
+    BOOST_TEST(cell.process(1).core->counts().suspicions == 0U);
+    BOOST_TEST(cell.process(2).core->counts().suspicions == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(FlappingProcessIsHeldBack)
 {
     SettledCell cell;
--- a/modules/membership/tests/viewcoretest.cpp
+++ b/modules/membership/tests/viewcoretest.cpp
@@ -190,6 +190,21 @@
     BOOST_TEST(cell.viewsOf(before.home).core->isDrained());
 }
 
+BOOST_AUTO_TEST_CASE(DrainWaitsForTheMirrorToHaveEveryRecord)
+{
+    ViewCell cell(1);
+    cell.areRecordsCopied = false;
+    cell.startAll(deployment);
+    cell.run(settleTime);
+    const ShardView before = cell.stored();
+    cell.feed(cell.addressOf(before.home), DrainRequested{});
+    cell.run(std::chrono::seconds(5));
+    BOOST_TEST((cell.stored() == before));
+    cell.areRecordsCopied = true;
+    cell.run(std::chrono::seconds(5));
+    BOOST_TEST((cell.stored().home == before.mirror));
+}
+
 BOOST_AUTO_TEST_CASE(HomeWithoutMirrorStartsUnderALeaseOnly)
 {
     SettledViews cell(1, 1);
--- a/modules/membership/tests/viewfixture.h
+++ b/modules/membership/tests/viewfixture.h
@@ -35,6 +35,7 @@
     StoreModel store;
     std::set<NodeAddress> cutFromStore;
     std::vector<std::string> violations;
+    bool areRecordsCopied = true; /**< Whether mirrors get the records of their homes. */
 
     explicit ViewCell(std::uint64_t seed)
         : Cell(seed)
@@ -250,7 +251,7 @@
     void synchronise()
     {
         const ShardView view = stored();
-        if (view == m_synchronised || !isRunning(view.home) || !isRunning(view.mirror)) {
+        if (!areRecordsCopied || view == m_synchronised || !isRunning(view.home) || !isRunning(view.mirror)) {
             return;
         }
         const NodeAddress home = addressOf(view.home);
--- a/modules/platform/tests/storeclienttest.cpp
+++ b/modules/platform/tests/storeclienttest.cpp
@@ -137,6 +137,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(SwapWithoutAnAnswerIsFollowedByARead)
+{
+    MarkedSwap swap({ "key", "value", 0 }, "mark");
+    swap.handle(StoreReply{ .status = StoreStatus::Unknown });
+    BOOST_TEST(std::holds_alternative<StoreRead>(swap.nextCall()));
+}
+
 BOOST_AUTO_TEST_CASE(MemoryStoreCarriesCallsBetweenTwoClients)
 {
     const auto shared = std::make_shared<SharedStore>();
