--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <fstream>
@@ -40,48 +41,6 @@
 
 } // namespace
 
-Deployment::Options Deployment::Options::withEntries(std::size_t value) const
-{
-    Options changed = *this;
-    changed.entries = value;
-    return changed;
-}
-
-Deployment::Options Deployment::Options::withAgents(std::size_t value) const
-{
-    Options changed = *this;
-    changed.agents = value;
-    return changed;
-}
-
-Deployment::Options Deployment::Options::withSlots(std::uint16_t value) const
-{
-    Options changed = *this;
-    changed.slots = value;
-    return changed;
-}
-
-Deployment::Options Deployment::Options::withSeed(std::uint64_t value) const
-{
-    Options changed = *this;
-    changed.seed = value;
-    return changed;
-}
-
-Deployment::Options Deployment::Options::withProxies() const
-{
-    Options changed = *this;
-    changed.proxied = true;
-    return changed;
-}
-
-Deployment::Options Deployment::Options::withStore() const
-{
-    Options changed = *this;
-    changed.store = true;
-    return changed;
-}
-
 Deployment::Deployment(const Options &options)
     : m_options(options)
     , m_folder(std::filesystem::temp_directory_path() / ("lagoonroute-" + std::to_string(getpid())))
@@ -108,8 +67,10 @@
     }
     for (std::size_t index = 0; index < options.agents; ++index) {
         const std::string name = "agent-" + std::to_string(index);
-        const auto upstream = StandInUpstream::Options().withName("upstream-" + std::to_string(index)).withIp(m_ip);
-        m_upstreams.push_back(std::make_unique<StandInUpstream>(upstream.withSlots(options.slots).withAgent(m_nodes.at(name).http), m_log));
+        const StandInUpstream::Options upstream{
+            .name = "upstream-" + std::to_string(index), .ip = m_ip, .slots = options.slots, .agent = m_nodes.at(name).http
+        };
+        m_upstreams.push_back(std::make_unique<StandInUpstream>(upstream, m_log));
     }
     for (const auto &upstream : m_upstreams) {
         waitUntil([&upstream] { return upstream->isAnnounced(); }, "the announcement of an upstream");
@@ -197,6 +158,25 @@
     return *m_nodes.at(name).proxy;
 }
 
+void Deployment::cutOff(const std::vector<std::string> &names)
+{
+    Faults deaf;
+    for (const std::string &name : names) {
+        deaf.unheard.push_back(m_nodes.at(name).peer);
+    }
+    for (auto &[name, node] : m_nodes) {
+        const bool isCutOff = std::find(names.begin(), names.end(), name) != names.end();
+        node.proxy->setFaults(isCutOff ? Faults{ .cut = true } : deaf);
+    }
+}
+
+void Deployment::heal()
+{
+    for (auto &[name, node] : m_nodes) {
+        node.proxy->setFaults(Faults{});
+    }
+}
+
 StandInUpstream &Deployment::upstream(std::size_t agent)
 {
     return *m_upstreams.at(agent);
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -31,13 +31,6 @@
         std::uint64_t seed = 1;
         bool proxied = false; /**< Puts a FaultProxy before each process. */
         bool store = false; /**< Keeps views in a stand-in store, the process named "store"; otherwise they are fixed. */
-
-        Options withEntries(std::size_t value) const;
-        Options withAgents(std::size_t value) const;
-        Options withSlots(std::uint16_t value) const;
-        Options withSeed(std::uint64_t value) const;
-        Options withProxies() const;
-        Options withStore() const;
     };
 
     /** Starts every process and upstream, and waits until all serve. */
@@ -65,6 +58,12 @@
     /** Proxy before the process of that name. */
     FaultProxy &proxy(const std::string &name);
 
+    /** Cuts the processes off from all others; their datagrams reach nobody, and no connection reaches them. */
+    void cutOff(const std::vector<std::string> &names);
+
+    /** Ends every fault of the proxies. */
+    void heal();
+
     /** Upstream beside the agent of that number. */
     StandInUpstream &upstream(std::size_t agent);
 
--- a/tests/harness/faultproxy.cpp
+++ b/tests/harness/faultproxy.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <future>
@@ -221,7 +222,9 @@
     void pass(Datagram datagram)
     {
         const auto draw = [this] { return std::uniform_real_distribution<double>(0, 1)(m_random); };
-        if (m_faults.cut || m_faults.halfOpen || draw() < m_faults.datagramLoss) {
+        const NodeAddress sender{ datagram.from->sender.address().to_string(), datagram.from->sender.port() };
+        const bool isUnheard = std::find(m_faults.unheard.begin(), m_faults.unheard.end(), sender) != m_faults.unheard.end();
+        if (isUnheard || m_faults.cut || m_faults.halfOpen || draw() < m_faults.datagramLoss) {
             return;
         }
         if (!m_held && draw() < m_faults.datagramReorder) {
--- a/tests/harness/faultproxy.h
+++ b/tests/harness/faultproxy.h
@@ -4,6 +4,7 @@
 #include <lagoonroute/membership/member.h>
 
 #include <memory>
+#include <vector>
 
 namespace lagoonroute::harness
 {
@@ -16,6 +17,7 @@
     bool halfOpen = false; /**< Keeps connections open and passes nothing on. */
     bool answersLost = false; /**< Passes requests on and breaks the connection when the answer comes. */
     std::size_t answerBytes = 0; /**< With `answersLost`, bytes of the answer that still pass. */
+    std::vector<NodeAddress> unheard; /**< Datagrams from these addresses are dropped. */
     double datagramLoss = 0; /**< Share of datagrams dropped. */
     double datagramReorder = 0; /**< Share of datagrams that are held back until the next one has passed. */
 };
--- a/tests/harness/standinupstream.cpp
+++ b/tests/harness/standinupstream.cpp
@@ -32,41 +32,6 @@
 
 } // namespace
 
-StandInUpstream::Options StandInUpstream::Options::withName(std::string value) const
-{
-    Options changed = *this;
-    changed.name = std::move(value);
-    return changed;
-}
-
-StandInUpstream::Options StandInUpstream::Options::withIp(std::string value) const
-{
-    Options changed = *this;
-    changed.ip = std::move(value);
-    return changed;
-}
-
-StandInUpstream::Options StandInUpstream::Options::withSlots(std::uint16_t value) const
-{
-    Options changed = *this;
-    changed.slots = value;
-    return changed;
-}
-
-StandInUpstream::Options StandInUpstream::Options::withAgent(NodeAddress value) const
-{
-    Options changed = *this;
-    changed.agent = std::move(value);
-    return changed;
-}
-
-StandInUpstream::Options StandInUpstream::Options::withAnnouncedAddress(NodeAddress value) const
-{
-    Options changed = *this;
-    changed.announcedAddress = std::move(value);
-    return changed;
-}
-
 class StandInUpstream::Implementation
 {
 public:
--- a/tests/harness/standinupstream.h
+++ b/tests/harness/standinupstream.h
@@ -33,12 +33,6 @@
         std::uint16_t slots = 4;
         NodeAddress agent; /**< Where it announces itself. */
         std::optional<NodeAddress> announcedAddress; /**< Of a proxy in front of it, if any. */
-
-        Options withName(std::string value) const;
-        Options withIp(std::string value) const;
-        Options withSlots(std::uint16_t value) const;
-        Options withAgent(NodeAddress value) const;
-        Options withAnnouncedAddress(NodeAddress value) const;
     };
 
     /** Starts to serve and to announce itself. */
--- a/tests/scenarios/pathscenarios.cpp
+++ b/tests/scenarios/pathscenarios.cpp
@@ -7,7 +7,7 @@
 
 BOOST_AUTO_TEST_CASE(ServesJobsEndToEnd)
 {
-    Deployment deployment(Deployment::Options().withSeed(11));
+    Deployment deployment(Deployment::Options{ .seed = 11 });
     for (int job = 0; job < 20; ++job) {
         deployment.caller().send(TestJob::ofTasks("wedding-" + std::to_string(job), 1 + job % 5, 20ms));
     }
@@ -18,7 +18,7 @@
 
 BOOST_AUTO_TEST_CASE(ResubmissionThroughAnotherEntryStartsNothing)
 {
-    Deployment deployment(Deployment::Options().withSeed(12));
+    Deployment deployment(Deployment::Options{ .seed = 12 });
     TestJob job = TestJob::ofTasks("deposit", 3, 100ms);
     job.idempotent = false;
     deployment.caller().send(job, 0);
@@ -33,7 +33,7 @@
 
 BOOST_AUTO_TEST_CASE(KilledEntryLosesNoOutcome)
 {
-    Deployment deployment(Deployment::Options().withSeed(13));
+    Deployment deployment(Deployment::Options{ .seed = 13 });
     const TestJob job = TestJob::ofTasks("ceremony", 3, 300ms);
     deployment.caller().send(job, 0);
     waitUntil([&] { return deployment.log().starts() == 3; }, "three starts");
@@ -46,7 +46,7 @@
 
 BOOST_AUTO_TEST_CASE(ResubmissionStormStartsEachTaskOnce)
 {
-    Deployment deployment(Deployment::Options().withEntries(3).withSeed(14));
+    Deployment deployment(Deployment::Options{ .entries = 3, .seed = 14 });
     for (int job = 0; job < 60; ++job) {
         for (int copy = 0; copy < 4; ++copy) {
             deployment.caller().send(TestJob::ofTasks("storm-" + std::to_string(job), 2, 10ms));
--- a/tests/scenarios/upstreamscenarios.cpp
+++ b/tests/scenarios/upstreamscenarios.cpp
@@ -20,7 +20,7 @@
 
 BOOST_AUTO_TEST_CASE(BurstOnAStragglerCompletes)
 {
-    Deployment deployment(Deployment::Options().withSeed(21));
+    Deployment deployment(Deployment::Options{ .seed = 21 });
     deployment.upstream(0).setSlowness(10);
     sendJobs(deployment, "burst-", 60, 2, 10ms);
     deployment.caller().wait();
@@ -32,7 +32,7 @@
 {
     constexpr std::size_t jobs = 300;
     constexpr std::size_t agents = 4;
-    Deployment deployment(Deployment::Options().withAgents(agents).withSeed(22));
+    Deployment deployment(Deployment::Options{ .agents = agents, .seed = 22 });
     sendJobs(deployment, "before-", 80, 1, 20ms);
     deployment.caller().wait();
     const std::size_t before = deployment.log().starts("upstream-0");
@@ -48,7 +48,7 @@
 
 BOOST_AUTO_TEST_CASE(WrongDeclarationsDoNoHarm)
 {
-    Deployment deployment(Deployment::Options().withSeed(23));
+    Deployment deployment(Deployment::Options{ .seed = 23 });
     for (int index = 0; index < 30; ++index) {
         TestJob job = TestJob::ofTasks("wrong-" + std::to_string(index), 2, index % 2 == 0 ? 100ms : 1ms);
         job.declared = index % 2 == 0 ? 1ms : 30000ms;
@@ -62,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(CancellationWaveIsTruthful)
 {
     constexpr std::size_t jobs = 30;
-    Deployment deployment(Deployment::Options().withSeed(24));
+    Deployment deployment(Deployment::Options{ .seed = 24 });
     sendJobs(deployment, "wave-", jobs, 2, 20s);
     waitUntil([&] { return deployment.log().starts() >= 12; }, "every slot to be taken");
     // The last first, so that few slots become free for jobs that are still to be cancelled.
@@ -77,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(ErrorAfterTheWorkIsAFailureThatNamesIt)
 {
-    Deployment deployment(Deployment::Options().withAgents(1).withSeed(25));
+    Deployment deployment(Deployment::Options{ .agents = 1, .seed = 25 });
     deployment.upstream(0).setMode(UpstreamMode::FailingAfterWork);
     deployment.caller().send(TestJob::ofTasks("error", 3, 20ms), 0);
     deployment.caller().wait();
@@ -90,7 +90,7 @@
 
 BOOST_AUTO_TEST_CASE(AnswerCutInTheMiddleIsNotRepeated)
 {
-    Deployment deployment(Deployment::Options().withAgents(1).withSeed(26));
+    Deployment deployment(Deployment::Options{ .agents = 1, .seed = 26 });
     FaultProxy proxy("127.0.0.1", deployment.upstream(0).address(), 26);
     proxy.setFaults(Faults{ .answersLost = true, .answerBytes = 20 });
     deployment.upstream(0).announceAt(proxy.address());
@@ -106,7 +106,7 @@
 
 BOOST_AUTO_TEST_CASE(SilentUpstreamEndsAtTheDeadline)
 {
-    Deployment deployment(Deployment::Options().withAgents(1).withSeed(27));
+    Deployment deployment(Deployment::Options{ .agents = 1, .seed = 27 });
     deployment.upstream(0).setMode(UpstreamMode::NeverAnswering);
     TestJob job = TestJob::ofTasks("silent", 2, 10ms);
     job.deadline = 700ms;
@@ -118,7 +118,7 @@
 
 BOOST_AUTO_TEST_CASE(DyingWorkerFailsOnlyWhatItRan)
 {
-    Deployment deployment(Deployment::Options().withSeed(28));
+    Deployment deployment(Deployment::Options{ .seed = 28 });
     sendJobs(deployment, "job-", 24, 1, 150ms);
     waitUntil([&] { return deployment.log().starts("upstream-0") > 0; }, "a start at the worker");
     deployment.killUpstream(0);
@@ -130,7 +130,7 @@
 
 BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNoNewWork)
 {
-    Deployment deployment(Deployment::Options().withSeed(29));
+    Deployment deployment(Deployment::Options{ .seed = 29 });
     sendJobs(deployment, "before-", 12, 1, 50ms);
     waitUntil([&] { return deployment.log().starts("upstream-0") > 0; }, "a start at the leaving upstream");
     deployment.upstream(0).leave();
@@ -147,7 +147,7 @@
 
 BOOST_AUTO_TEST_CASE(PlannedRestartOfEveryEntryCutsNothing)
 {
-    Deployment deployment(Deployment::Options().withEntries(3).withSeed(30));
+    Deployment deployment(Deployment::Options{ .entries = 3, .seed = 30 });
     deployment.balanceByReadiness();
     int sent = 0;
     const auto load = [&] {
