Settings are checked field by field, by the visitors of the configuration

Cause: settings took unknown fields, and the first fault hid the others; their reader stood beside that of the configuration.

--- a/include/lagoonroute/observation/log.h
+++ b/include/lagoonroute/observation/log.h
@@ -30,7 +30,7 @@
 };
 
 /** Sets up the process-wide log: one JSON object a line on standard error, from the given level on. */
-void startLogging(const std::string &node, const std::string &level);
+void startLogging(const std::string &node, LogLevel level);
 
 /** Tells whether lines of this level are written. */
 bool isLogged(LogLevel level);
--- a/modules/app/agentnode.cpp
+++ b/modules/app/agentnode.cpp
@@ -79,10 +79,11 @@
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
         m_thread.inject(AgentEvent(WallClockRead{ wallNow() }));
-        for (const ServiceRules &rules : settings.services) {
+        for (const auto &[name, rules] : settings.services) {
             m_thread.inject(AgentEvent(RulesChanged{ rules }));
         }
-        for (const ShardView &view : settings.views) {
+        for (const ViewSetting &setting : settings.views) {
+            const ShardView view = setting.view();
             m_thread.inject(AgentEvent(ViewChanged{ view }));
             // Views of the settings never change, so no other home can replace this one.
             m_thread.inject(AgentEvent(StartsAllowed{ view.key }));
--- a/modules/app/entrynode.cpp
+++ b/modules/app/entrynode.cpp
@@ -91,11 +91,12 @@
         , m_ports(settings, m_base, store, m_signal)
         , m_thread(m_core, m_ports, m_observer, m_signal)
     {
-        for (const ServiceRules &rules : settings.services) {
+        for (const auto &[name, rules] : settings.services) {
             m_ports.callers().setRules(rules);
             m_thread.inject(EntryEvent(RulesChanged{ rules }));
         }
-        for (const ShardView &view : settings.views) {
+        for (const ViewSetting &setting : settings.views) {
+            const ShardView view = setting.view();
             m_thread.inject(EntryEvent(ViewChanged{ view }));
         }
         m_thread.inject(ControlEvent(ContactsKnown{ settings.contacts }));
--- a/modules/app/solo.cpp
+++ b/modules/app/solo.cpp
@@ -33,10 +33,10 @@
 }
 
 /** Puts a first configuration with these services into an empty store. */
-void storeConfiguration(const std::shared_ptr<SharedStore> &store, const std::vector<ServiceRules> &services)
+void storeConfiguration(const std::shared_ptr<SharedStore> &store, const std::map<std::string, ServiceRules> &services)
 {
     Configuration::Builder builder;
-    for (const ServiceRules &rules : services) {
+    for (const auto &[name, rules] : services) {
         builder.withService(rules);
     }
     AuditRecord audit;
@@ -66,8 +66,8 @@
     }
     const auto announce = [&] {
         for (std::size_t index = 0; index < agents; ++index) {
-            for (const ServiceRules &rules : settings.services) {
-                upstreams[index]->announce(agentNodes[index]->httpAddress(), rules.name(), slotsPerAgent);
+            for (const auto &[name, rules] : settings.services) {
+                upstreams[index]->announce(agentNodes[index]->httpAddress(), name, slotsPerAgent);
             }
         }
     };
--- a/modules/configuration/configurationjson.cpp
+++ b/modules/configuration/configurationjson.cpp
@@ -1,10 +1,9 @@
 #include <lagoonroute/configuration/configurationjson.h>
 
+#include "configurationfields.h"
+#include "documentreader.h"
 #include "fieldprinter.h"
-#include "fieldreader.h"
-#include "repeatedfields.h"
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <utility>
@@ -75,26 +74,11 @@
 
 ParsedConfiguration parseConfiguration(std::string_view text)
 {
-    std::vector<CheckFault> faults = repeatedFields(text);
-    if (!faults.empty()) {
-        return refused(std::move(faults));
+    ReadDocument<Configuration> document = readDocument<Configuration>(text);
+    if (!document.faults.empty()) {
+        return refused(std::move(document.faults));
     }
-    json::parse_options options;
-    options.allow_comments = true;
-    options.allow_trailing_commas = true;
-    const json::value document = json::parse(json::string_view(text.data(), text.size()), {}, options);
-    if (!document.is_object()) {
-        return refused({ { "", json::serialize(document), "one JSON object" } });
-    }
-    Configuration configuration;
-    FieldReader reader(document.get_object(), "", faults);
-    FieldsOf<Configuration>::visit(configuration, reader);
-    reader.finish();
-    checkValue("", configuration, faults);
-    if (!faults.empty()) {
-        return refused(std::move(faults));
-    }
-    return { std::move(configuration), {} };
+    return { std::move(document.value), {} };
 }
 
 Configuration readConfiguration(std::string_view text)
--- a/modules/configuration/fieldkinds.cpp
+++ b/modules/configuration/fieldkinds.cpp
@@ -1,6 +1,9 @@
 #include "fieldkinds.h"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
+#include <string>
 
 namespace lagoonroute
 {
@@ -28,6 +31,13 @@
     return text.size() <= maxLength && std::all_of(text.begin(), text.end(), predicate);
 }
 
+bool isIpNumber(std::string_view text)
+{
+    boost::system::error_code error;
+    boost::asio::ip::make_address(std::string(text), error);
+    return !error;
+}
+
 } // namespace
 
 std::string NumberRange::toString() const
@@ -49,6 +59,8 @@
         return !text.empty() && allOf(text, maxCallerLength, isPrintable);
     case TextForm::Path:
         return !text.empty() && text.front() == '/' && allOf(text, maxPathLength, isPrintable);
+    case TextForm::IpNumber:
+        return isIpNumber(text);
     case TextForm::KeyName:
         return allOf(text, maxPathLength, isPrintable);
     }
@@ -64,6 +76,8 @@
         return "1 to 128 printable ASCII characters without spaces";
     case TextForm::Path:
         return "1 to 256 printable ASCII characters without spaces, the first of them /";
+    case TextForm::IpNumber:
+        return "an IP number such as 127.0.0.1";
     case TextForm::KeyName:
         return "at most 256 printable ASCII characters without spaces";
     }
--- a/modules/configuration/fieldkinds.h
+++ b/modules/configuration/fieldkinds.h
@@ -36,6 +36,7 @@
     Name, /**< 1 to 64 lower-case letters, digits and hyphens. */
     Caller, /**< 1 to 128 printable ASCII characters. */
     Path, /**< 1 to 256 printable ASCII characters, the first of them "/". */
+    IpNumber, /**< IP number, version 4 or 6. */
     KeyName, /**< A header's name, a JSON pointer, or nothing. */
 };
 
--- a/modules/observation/log.cpp
+++ b/modules/observation/log.cpp
@@ -51,11 +51,11 @@
     return field;
 }
 
-void startLogging(const std::string &node, const std::string &level)
+void startLogging(const std::string &node, LogLevel level)
 {
     auto logger = std::make_shared<spdlog::logger>("lagoonroute", std::make_shared<spdlog::sinks::stderr_sink_mt>());
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","node":)" + quoted(node) + ",%v}");
-    logger->set_level(spdlog::level::from_str(level));
+    logger->set_level(spdlogLevel(level));
     spdlog::set_default_logger(std::move(logger));
 }
 
--- a/tests/fuzz/decodertest.cpp
+++ b/tests/fuzz/decodertest.cpp
@@ -114,9 +114,8 @@
 {
     const std::vector<std::string> samples{
         R"({"node":"a","peer":{"ip":"127.0.0.1","port":7400},"http":{"ip":"127.0.0.1","port":7500},"zone":"plateau","rack":"r1"})",
-        R"({"node":"a","peer":{"ip":"127.0.0.1","port":1},"http":{"ip":"127.0.0.1","port":2},/*c*/"members":[{"node":"b","role":"agent",)"
-        R"("peer":{"ip":"127.0.0.1","port":3},"offers":[{"service":"booking","slots":8,"connections":64}]}],"services":[{"name":"booking"}],)"
-        R"("views":[{"service":"booking","home":"b","mirror":"a"}],})",
+        R"({"node":"a","peer":{"ip":"127.0.0.1","port":1},"http":{"ip":"127.0.0.1","port":2},/*c*/"contacts":[{"ip":"127.0.0.1","port":3}],)"
+        R"("services":{"booking":{"queueLimit":7}},"views":[{"service":"booking","home":"b","mirror":"a"}],})",
     };
     requireRobust<InvalidDocument>(samples, [](const std::string &input) { Settings::fromText(input, "settings.json"); });
 }
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -276,7 +276,7 @@
     json::array contacts;
     for (const auto &[name, other] : m_nodes) {
         const NodeAddress address = other.proxy ? other.proxy->address() : other.peer;
-        contacts.emplace_back(address.ip + ":" + std::to_string(address.port));
+        contacts.push_back(jsonOf(address));
     }
     json::object settings{ { "node", node.name },
                            { "peer", jsonOf(node.peer) },
@@ -284,7 +284,7 @@
                            { "zone", node.zone },
                            { "rack", node.rack },
                            { "contacts", std::move(contacts) },
-                           { "services", json::array{ { { "name", "booking" } } } },
+                           { "services", json::object{ { "booking", json::object() } } },
                            { "withdrawMs", withdrawTime.count() } };
     if (node.proxy) {
         settings["advertise"] = jsonOf(node.proxy->address());
