Contacts from the store, and the state of the cores as metrics

Cause: a process whose contacts in the settings were all gone found nobody, and the counters of membership, store and configuration were not to be seen. Change: ControlCore runs ContactCore; observers publish the state of the cores every 500 ms.

--- a/include/lagoonroute/control/controlcore.h
+++ b/include/lagoonroute/control/controlcore.h
@@ -3,6 +3,7 @@
 #include <lagoonroute/configuration/configurationcore.h>
 #include <lagoonroute/control/controlevents.h>
 #include <lagoonroute/control/workertracker.h>
+#include <lagoonroute/membership/contactcore.h>
 #include <lagoonroute/membership/membershipcore.h>
 #include <lagoonroute/membership/viewcore.h>
 #include <lagoonroute/platform/storeclientcore.h>
@@ -32,9 +33,11 @@
         StoreClientCore::Options store;
         ViewCore::Options views;
         ConfigurationCore::Options configuration;
+        ContactCore::Options contacts;
 
         Options withMembership(MembershipCore::Options options) const;
         Options withStore(StoreClientCore::Options options) const;
+        Options withContacts(std::vector<NodeAddress> addresses) const;
     };
 
     explicit ControlCore(const Options &options);
@@ -57,6 +60,18 @@
     /** Whether no view names this process, or it takes part in none. */
     [[nodiscard]] bool isHandedOver() const;
 
+    /** The configuration of a process with a store; null elsewhere. */
+    [[nodiscard]] const ConfigurationCore *configuration() const noexcept
+    {
+        return m_configuration ? &*m_configuration : nullptr;
+    }
+
+    /** The client of the store. */
+    [[nodiscard]] const StoreClientCore &store() const noexcept
+    {
+        return m_store;
+    }
+
     /** Whether the process has a configuration that it may serve under. */
     [[nodiscard]] bool isReady() const;
 
@@ -65,6 +80,7 @@
 
     void tellMembership(const MembershipEvent &event, Instant now, Actions &actions);
     void tellViews(const ViewEvent &event, Instant now, Actions &actions);
+    void tellContacts(const ContactEvent &event, Instant now, Actions &actions);
     void tellConfiguration(const ConfigurationEvent &event, Instant now, Actions &actions);
     void callStore(const StoreCall &call, Instant now, Actions &actions);
     void takeReplies(StoreClientCore::Actions &store, Instant now, Actions &actions);
@@ -81,6 +97,7 @@
 
     MembershipCore m_membership;
     StoreClientCore m_store;
+    std::optional<ContactCore> m_contacts;
     std::optional<ViewCore> m_views;
     std::optional<ConfigurationCore> m_configuration;
     WorkerTracker m_workers;
--- a/modules/app/agentobserver.cpp
+++ b/modules/app/agentobserver.cpp
@@ -30,6 +30,17 @@
     }
 }
 
+void AgentObserver::publish(const AgentProcess &process)
+{
+    const AgentCore &agent = process.cores().dispatch();
+    m_metrics.gauge("lagoonroute_running_tasks").set(static_cast<std::int64_t>(agent.executor().running()));
+    m_metrics.gauge("lagoonroute_homes_held").set(static_cast<std::int64_t>(agent.homesHeld().size()));
+    for (const ShardKey &shard : agent.homesHeld()) {
+        m_metrics.gauge("lagoonroute_recorded_jobs", { { "service", shard.service } }).set(static_cast<std::int64_t>(agent.home(shard)->jobCount()));
+    }
+    m_control.publish(process.cores().control());
+}
+
 void AgentObserver::observeEvent(const AgentEvent &event)
 {
     if (const auto *replied = std::get_if<UpstreamReplied>(&event)) {
--- a/modules/app/agentobserver.h
+++ b/modules/app/agentobserver.h
@@ -21,6 +21,9 @@
     /** Notes an action before it is carried out. */
     void observe(const AgentProcess::Action &action, Instant now);
 
+    /** Shows the state of the cores as metrics. */
+    void publish(const AgentProcess &process);
+
 private:
     void observeEvent(const AgentEvent &event);
     void observeAction(const AgentAction &action);
--- a/modules/app/agentprocess.h
+++ b/modules/app/agentprocess.h
@@ -51,6 +51,12 @@
         return m_cores.control().isReady();
     }
 
+    /** The cores within. */
+    [[nodiscard]] const Cores &cores() const noexcept
+    {
+        return m_cores;
+    }
+
 private:
     void updateOffers(const AgentEvent &event, Instant now, std::vector<Action> &actions);
 
--- a/modules/app/controlobserver.cpp
+++ b/modules/app/controlobserver.cpp
@@ -55,6 +55,26 @@
     }
 }
 
+void ControlObserver::publish(const ControlCore &control)
+{
+    const auto show = [this](const char *name, std::uint64_t value) { m_metrics.gauge(name).set(static_cast<std::int64_t>(value)); };
+    const MembershipCounts membership = control.membership().counts();
+    show("lagoonroute_members", control.membership().members().size());
+    show("lagoonroute_gossip_sent_bytes", membership.sentBytes);
+    show("lagoonroute_gossip_suspicions", membership.suspicions);
+    show("lagoonroute_gossip_refutations", membership.refutations);
+    show("lagoonroute_store_circuit_open", control.store().circuit() == CircuitState::Closed ? 0 : 1);
+    if (const ConfigurationCore *configuration = control.configuration()) {
+        const ConfigurationCounts &counts = configuration->counts();
+        show("lagoonroute_configuration_applied", counts.applied);
+        show("lagoonroute_configuration_malformed", counts.malformed);
+        show("lagoonroute_configuration_lower", counts.lower);
+        show("lagoonroute_configuration_asked", counts.asked);
+        show("lagoonroute_configuration_unanswered", counts.unanswered);
+        show("lagoonroute_configuration_store_calls", counts.storeCalls);
+    }
+}
+
 void ControlObserver::observeView(const ShardView &view, const char *event)
 {
     m_metrics.gauge("lagoonroute_view_epoch", { { "service", view.key.service } }).set(static_cast<std::int64_t>(view.epoch));
--- a/modules/app/controlobserver.h
+++ b/modules/app/controlobserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <lagoonroute/control/controlevents.h>
+#include <lagoonroute/control/controlcore.h>
 #include <lagoonroute/observation/metrics.h>
 #include <lagoonroute/observation/nodestatus.h>
 
@@ -17,6 +17,9 @@
     /** Notes an action before it is carried out. */
     void observe(const ControlAction &action);
 
+    /** Shows the state of the core as metrics. */
+    void publish(const ControlCore &control);
+
 private:
     void observeView(const ShardView &view, const char *event);
 
--- a/modules/app/controlports.cpp
+++ b/modules/app/controlports.cpp
@@ -72,7 +72,7 @@
     self.zone = settings.zone;
     self.rack = settings.rack;
     const auto membership = MembershipCore::Options().withSelf(std::move(self)).withCell(settings.cell).withSeed(incarnation);
-    const ControlCore::Options options = ControlCore::Options().withMembership(membership);
+    const ControlCore::Options options = ControlCore::Options().withMembership(membership).withContacts(settings.contacts);
     return usesStore ? options.withStore(StoreClientCore::Options().withSeed(incarnation)) : options;
 }
 
--- a/modules/app/decisionthread.h
+++ b/modules/app/decisionthread.h
@@ -40,10 +40,11 @@
 
 /** Watches what a core hears and decides, for logs and metrics. */
 template <typename Observer, typename Core>
-concept DecisionObserver = requires(Observer observer, const typename Core::Event &event, const typename Core::Action &action, Instant now)
+concept DecisionObserver = requires(Observer observer, const Core &core, const typename Core::Event &event, const typename Core::Action &action, Instant now)
 {
     observer.observe(event, now);
     observer.observe(action, now);
+    observer.publish(core);
 };
 
 /**
@@ -112,6 +113,7 @@
 
 private:
     static constexpr std::size_t controlCapacity = 4096;
+    static constexpr Duration publishInterval = std::chrono::milliseconds(500);
 
     void run()
     {
@@ -128,12 +130,23 @@
             if (wake && *wake <= MonotonicClock::now()) {
                 decide(Core::elapsed());
             }
+            publish();
             m_drained = m_core.isDrained();
             m_ready = m_core.isReady();
             m_signal.waitUntil(m_core.nextWake());
         }
     }
 
+    /** Lets the observer read the state of the core, once in a while. */
+    void publish()
+    {
+        const Instant now = MonotonicClock::now();
+        if (now >= m_nextPublish) {
+            m_nextPublish = now + publishInterval;
+            m_observer.publish(m_core);
+        }
+    }
+
     void perform(Instant now)
     {
         for (Action &action : m_actions) {
@@ -149,6 +162,7 @@
     WakeSignal &m_signal;
     BoundedRing<Event> m_control;
     std::vector<Action> m_actions;
+    Instant m_nextPublish;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_drained = false;
     std::atomic<bool> m_ready = false;
--- a/modules/app/entryobserver.cpp
+++ b/modules/app/entryobserver.cpp
@@ -34,6 +34,12 @@
     }
 }
 
+void EntryObserver::publish(const EntryProcess &process)
+{
+    m_metrics.gauge("lagoonroute_open_requests").set(static_cast<std::int64_t>(process.dispatch().pending()));
+    m_control.publish(process.control());
+}
+
 void EntryObserver::observeEvent(const EntryEvent &event, Instant now)
 {
     if (const auto *submitted = std::get_if<CallerSubmitted>(&event)) {
--- a/modules/app/entryobserver.h
+++ b/modules/app/entryobserver.h
@@ -28,6 +28,9 @@
     /** Notes an action before it is carried out. */
     void observe(const EntryProcess::Action &action, Instant now);
 
+    /** Shows the state of the cores as metrics. */
+    void publish(const EntryProcess &process);
+
 private:
     struct OpenRequest
     {
--- a/modules/control/controlcore.cpp
+++ b/modules/control/controlcore.cpp
@@ -19,6 +19,7 @@
     Options changed = *this;
     changed.views = changed.views.withSelf(options.self).withCell(options.cell).withSeed(options.seed);
     changed.configuration = changed.configuration.withSelf(options.self.id, options.self.zone).withSeed(options.seed);
+    changed.contacts = changed.contacts.withSelf(options.self).withCell(options.cell).withSeed(options.seed);
     changed.membership = std::move(options);
     return changed;
 }
@@ -31,12 +32,20 @@
     return changed;
 }
 
+ControlCore::Options ControlCore::Options::withContacts(std::vector<NodeAddress> addresses) const
+{
+    Options changed = *this;
+    changed.contacts = changed.contacts.withSettings(std::move(addresses), {});
+    return changed;
+}
+
 ControlCore::ControlCore(const Options &options)
     : m_membership(options.membership)
     , m_store(options.store)
 {
     if (options.usesStore) {
         m_configuration.emplace(options.configuration);
+        m_contacts.emplace(options.contacts);
     }
     if (options.usesStore && options.membership.self.role == NodeRole::Agent) {
         m_views.emplace(options.views);
@@ -86,6 +95,9 @@
     if (m_views) {
         consider(m_views->nextWake());
     }
+    if (m_contacts) {
+        consider(m_contacts->nextWake());
+    }
     if (m_configuration) {
         consider(m_configuration->nextWake());
     }
@@ -115,6 +127,7 @@
     takeReplies(store, now, actions);
     tellMembership(TimeElapsed{}, now, actions);
     tellViews(TimeElapsed{}, now, actions);
+    tellContacts(TimeElapsed{}, now, actions);
     tellConfiguration(ConfigurationTimeElapsed{}, now, actions);
 }
 
@@ -139,6 +152,22 @@
     }
 }
 
+void ControlCore::tellContacts(const ContactEvent &event, Instant now, Actions &actions)
+{
+    if (!m_contacts) {
+        return;
+    }
+    std::vector<ContactAction> produced;
+    m_contacts->handle(event, now, produced);
+    for (const ContactAction &action : produced) {
+        if (const auto *call = std::get_if<StoreCall>(&action)) {
+            callStore(*call, now, actions);
+        } else {
+            tellMembership(std::get<ContactsKnown>(action), now, actions);
+        }
+    }
+}
+
 void ControlCore::tellConfiguration(const ConfigurationEvent &event, Instant now, Actions &actions)
 {
     if (!m_configuration) {
@@ -166,6 +195,8 @@
     for (const StoreReply &reply : store.replies) {
         if (reply.purpose == StorePurpose::Configuration) {
             tellConfiguration(ConfigurationStoreReplied{ reply }, now, actions);
+        } else if (reply.purpose == StorePurpose::Contact) {
+            tellContacts(reply, now, actions);
         } else {
             tellViews(reply, now, actions);
         }
@@ -233,6 +264,7 @@
     actions.emplace_back(PeerAddressKnown{ member.id, member.address });
     tellWorkers(m_workers.memberChanged(member), actions);
     tellViews(MemberChanged{ member }, now, actions);
+    tellContacts(MemberChanged{ member }, now, actions);
     const ConfigurationPeer peer{ member.id, member.zone };
     const auto [known, isNew] = m_peers.try_emplace(member.id, peer);
     if (isNew || known->second != peer) {
@@ -246,6 +278,7 @@
 {
     tellWorkers(m_workers.memberGone(member), actions);
     tellViews(MemberGone{ member }, now, actions);
+    tellContacts(MemberGone{ member }, now, actions);
     if (m_peers.erase(member.id) > 0) {
         tellPeers(now, actions);
     }
