--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -78,6 +78,9 @@
     for (const auto &[name, node] : m_nodes) {
         waitUntilReady(name);
         waitUntilWorkersKnown(node);
+        if (options.store && node.isEntry) {
+            waitUntil([this, entry = name] { return !home(entry).empty(); }, name + " to know the home");
+        }
     }
     m_caller = std::make_unique<Caller>(std::move(entries), options.seed);
 }
@@ -109,6 +112,16 @@
     waitUntilReady(name);
 }
 
+int Deployment::submitConfiguration(const std::string &content, Revision reviewed)
+{
+    const std::string path = (m_folder / "configuration.json").string();
+    std::ofstream(path) << content;
+    const std::string store = "--store=" + m_storeAddress.ip + ":" + std::to_string(m_storeAddress.port);
+    const std::vector<std::string> command{ LAGOONROUTE_PROGRAM, "config",       "submit", path, store, "--reviewed=" + std::to_string(reviewed),
+                                            "--author=operator", "--reason=test" };
+    return ChildProcess(command, (m_folder / "config.log").string()).wait();
+}
+
 std::string Deployment::home(const std::string &entry)
 {
     std::ifstream log(file(m_nodes.at(entry), ".log"));
@@ -216,6 +229,12 @@
     return result.response->body;
 }
 
+Revision Deployment::revision(const std::string &name)
+{
+    const auto status = fetch(name, "/v1/status");
+    return status ? json::parse(*status).at("revision").to_number<Revision>() : 0;
+}
+
 void Deployment::waitUntilReady(const std::string &name)
 {
     waitUntil([&] { return fetch(name, "/ready").has_value() || !process(name).isRunning(); }, name + " to be ready");
@@ -306,6 +325,7 @@
     m_storeAddress = nextAddress();
     const std::vector<std::string> command{ LAGOONROUTE_STORE_PROGRAM, "--ip", m_storeAddress.ip, "--port", std::to_string(m_storeAddress.port) };
     m_store = std::make_unique<ChildProcess>(command, (m_folder / "store.log").string());
+    waitUntil([this] { return submitConfiguration(R"({"services":{"booking":{}}})", 0) == 0; }, "the first configuration");
 }
 
 void Deployment::start(Node &node)
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -46,6 +46,9 @@
     /** Starts a process again that has ended, under its own settings, and waits until it serves. */
     void restart(const std::string &name);
 
+    /** Submits a configuration as an operator who reviewed that revision. Returns the exit code of the command. */
+    int submitConfiguration(const std::string &content, Revision reviewed);
+
     /** Name of the agent that is home, as the entry knows it; empty while it knows none. */
     std::string home(const std::string &entry = "entry-0");
 
@@ -82,6 +85,9 @@
     /** What the process answers to a GET at the path; nothing when it does not answer with 200. */
     std::optional<std::string> fetch(const std::string &name, const std::string &path);
 
+    /** Revision of the configuration that the process has in force. */
+    Revision revision(const std::string &name);
+
     /** Waits until the process answers at /ready. */
     void waitUntilReady(const std::string &name);
 
