--- a/include/lagoonroute/base/commonevents.h
+++ b/include/lagoonroute/base/commonevents.h
@@ -26,8 +26,10 @@
 };
 
 /**
- * Whether the home of a shard without a mirror may start tasks; it may not while another home could have replaced it
- * unnoticed. Until the first such event it may not. Homes with a mirror ask their mirror instead.
+ * Whether the home of a shard may start tasks; it may not while another home could have replaced it unnoticed.
+ *
+ * A home without a mirror may not start any until the first such event. A home with a mirror asks its mirror, and may
+ * start tasks until it is told otherwise: a pair that is cut off from all others is.
  */
 struct StartsAllowed
 {
--- a/modules/dispatch/homecore.cpp
+++ b/modules/dispatch/homecore.cpp
@@ -218,10 +218,12 @@
 
 bool HomeCore::Implementation::mayStart(Instant now) const
 {
+    const bool isAllowed = m_startsAllowed && m_startsAllowed->allowed && (!m_startsAllowed->until || now < *m_startsAllowed->until);
     if (link.hasMirror()) {
-        return link.isAcknowledged(m_probe);
+        const bool isRevoked = m_startsAllowed && !isAllowed;
+        return !isRevoked && link.isAcknowledged(m_probe);
     }
-    return m_startsAllowed && m_startsAllowed->allowed && (!m_startsAllowed->until || now < *m_startsAllowed->until);
+    return isAllowed;
 }
 
 std::optional<Instant> HomeCore::Implementation::nextWake() const
--- a/modules/dispatch/tests/fencingtest.cpp
+++ b/modules/dispatch/tests/fencingtest.cpp
@@ -187,4 +187,19 @@
     BOOST_TEST(sent<StartTask>(actions).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(PairThatIsCutOffStartsNothingAlthoughItsMirrorAcknowledges)
+{
+    for (const bool byTime : { false, true }) {
+        HomeFixture fixture;
+        fixture.give(byTime ? StartsAllowed{ shard, true, start + milliseconds(1) } : StartsAllowed{ shard, false, std::nullopt });
+        fixture.now += milliseconds(2);
+        fixture.give(MessageReceived{ entry, submission(1) });
+        BOOST_TEST(sent<StartTask>(fixture.actions).empty());
+        fixture.acknowledge();
+        BOOST_TEST(sent<StartTask>(fixture.actions).empty());
+        fixture.give(StartsAllowed{ shard, true, std::nullopt });
+        BOOST_TEST(sent<StartTask>(fixture.actions).size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
