--- /dev/null
+++ b/include/lagoonroute/network/network.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/**
+ * Module network: what the adapters that use Boost.Asio have in common.
+ *
+ * Depends on membership (for addresses) and Boost.Asio.
+ */
+
+#include <lagoonroute/network/eventloop.h>
+#include <lagoonroute/network/tcplistener.h>
--- a/modules/http/httpclient.cpp
+++ b/modules/http/httpclient.cpp
@@ -1,7 +1,7 @@
 #include <lagoonroute/http/httpclient.h>
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
+#include <lagoonroute/network/eventloop.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -11,7 +11,6 @@
 
 #include <future>
 #include <map>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -190,15 +189,13 @@
 {
 public:
     Implementation()
-        : m_work(boost::asio::make_work_guard(m_loop))
-        , m_thread([this] { m_loop.run(); })
     {
+        m_loop.start();
     }
 
     ~Implementation()
     {
         m_loop.stop();
-        m_thread.join();
     }
 
     Implementation(const Implementation &) = delete;
@@ -206,15 +203,13 @@
 
     void call(const NodeAddress &server, HttpRequest request, Duration timeout, Callback callback)
     {
-        auto newCall = std::make_shared<ClientCall>(m_loop, m_pool, server, std::move(callback));
-        boost::asio::post(m_loop, [newCall, request = std::move(request), timeout]() mutable { newCall->start(std::move(request), timeout); });
+        auto newCall = std::make_shared<ClientCall>(m_loop.context(), m_pool, server, std::move(callback));
+        boost::asio::post(m_loop.context(), [newCall, request = std::move(request), timeout]() mutable { newCall->start(std::move(request), timeout); });
     }
 
 private:
-    boost::asio::io_context m_loop{ 1 };
+    EventLoop m_loop;
     ConnectionPool m_pool;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
-    std::thread m_thread;
 };
 
 HttpClient::HttpClient()
--- a/modules/transport/gossiptransport.cpp
+++ b/modules/transport/gossiptransport.cpp
@@ -3,15 +3,14 @@
 #include "loopsignal.h"
 
 #include <lagoonroute/base/errors.h>
+#include <lagoonroute/network/eventloop.h>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <atomic>
-#include <thread>
 #include <utility>
 
 namespace lagoonroute
@@ -38,22 +37,20 @@
 {
 public:
     Implementation(const Options &options, WakeSignal &inboundSignal)
-        : m_work(boost::asio::make_work_guard(m_loop))
-        , m_outboundSignal(m_loop, [this] { sendWaiting(); })
+        : m_outboundSignal(m_loop.context(), [this] { sendWaiting(); })
         , m_inbound(options.ringCapacity, inboundSignal)
         , m_outbound(options.ringCapacity, m_outboundSignal)
-        , m_socket(m_loop)
-        , m_retryTimer(m_loop)
+        , m_socket(m_loop.context())
+        , m_retryTimer(m_loop.context())
     {
         open(options.address);
         receive();
-        m_thread = std::thread([this] { m_loop.run(); });
+        m_loop.start();
     }
 
     ~Implementation()
     {
         m_loop.stop();
-        m_thread.join();
     }
 
     Implementation(const Implementation &) = delete;
@@ -144,8 +141,7 @@
         });
     }
 
-    boost::asio::io_context m_loop{ 1 };
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    EventLoop m_loop;
     LoopSignal m_outboundSignal;
     BoundedRing<DatagramReceived> m_inbound;
     BoundedRing<SendDatagram, LoopSignal> m_outbound;
@@ -159,7 +155,6 @@
     std::atomic<std::uint64_t> m_overflowed = 0;
     std::atomic<std::uint64_t> m_sent = 0;
     std::atomic<std::uint64_t> m_notSent = 0;
-    std::thread m_thread;
 };
 
 GossipTransport::GossipTransport(const Options &options, WakeSignal &inboundSignal)
--- a/modules/transport/peertransport.cpp
+++ b/modules/transport/peertransport.cpp
@@ -4,15 +4,12 @@
 #include "loopsignal.h"
 #include "outgoingpeer.h"
 
-#include <lagoonroute/base/errors.h>
+#include <lagoonroute/network/eventloop.h>
+#include <lagoonroute/network/tcplistener.h>
 #include <lagoonroute/transport/messagecodec.h>
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/endian/conversion.hpp>
 
-#include <thread>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,9 +22,6 @@
 
 using boost::asio::ip::tcp;
 
-/** Wait before accepting again after the process ran out of descriptors. */
-constexpr std::chrono::milliseconds acceptRetry{ 50 };
-
 /** Returns the message behind its length in four bytes, big-endian. */
 std::string frameOf(const Envelope &envelope)
 {
@@ -94,21 +88,17 @@
 public:
     Implementation(const Options &options, WakeSignal &inboundSignal)
         : m_options(options)
-        , m_work(boost::asio::make_work_guard(m_loop))
-        , m_outboundSignal(m_loop, [this] { carryOut(); })
+        , m_outboundSignal(m_loop.context(), [this] { carryOut(); })
         , m_inbound(options.ringCapacity, inboundSignal)
         , m_outbound(options.ringCapacity, m_outboundSignal)
-        , m_acceptor(m_loop)
-        , m_acceptTimer(m_loop)
+        , m_listener(m_loop.context(), options.address, [this](tcp::socket socket) { open(std::move(socket)); })
     {
-        listen();
-        m_thread = std::thread([this] { m_loop.run(); });
+        m_loop.start();
     }
 
     ~Implementation()
     {
         m_loop.stop();
-        m_thread.join();
     }
 
     Implementation(const Implementation &) = delete;
@@ -116,7 +106,7 @@
 
     [[nodiscard]] NodeAddress address() const
     {
-        return m_address;
+        return m_listener.address();
     }
 
     bool command(PeerCommand command)
@@ -130,46 +120,9 @@
     }
 
 private:
-    void listen()
+    void open(tcp::socket socket)
     {
-        try {
-            const tcp::endpoint endpoint(boost::asio::ip::make_address(m_options.address.ip), m_options.address.port);
-            m_acceptor.open(endpoint.protocol());
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-            m_acceptor.bind(endpoint);
-            m_acceptor.listen();
-            m_address = { m_options.address.ip, m_acceptor.local_endpoint().port() };
-        } catch (const boost::system::system_error &error) {
-            throw NetworkError("cannot listen on " + m_options.address.ip + ":" + std::to_string(m_options.address.port) + ": " + error.what());
-        }
-        accept();
-    }
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-            if (error == boost::asio::error::operation_aborted) {
-                return;
-            }
-            if (error) {
-                acceptLater();
-                return;
-            }
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<IncomingPeer>(std::move(socket), [this](Envelope &envelope) { return receive(envelope); })->start();
-            accept();
-        });
-    }
-
-    void acceptLater()
-    {
-        m_acceptTimer.expires_after(acceptRetry);
-        m_acceptTimer.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                accept();
-            }
-        });
+        std::make_shared<IncomingPeer>(std::move(socket), [this](Envelope &envelope) { return receive(envelope); })->start();
     }
 
     bool receive(Envelope &envelope)
@@ -226,7 +179,7 @@
                 m_peers.erase(to);
                 lost(to);
             };
-            peer = m_peers.emplace(to, std::make_shared<OutgoingPeer>(m_loop, address->second, onLost)).first;
+            peer = m_peers.emplace(to, std::make_shared<OutgoingPeer>(m_loop.context(), address->second, onLost)).first;
             peer->second->start();
         }
         const auto connection = peer->second;
@@ -254,18 +207,14 @@
     }
 
     Options m_options;
-    boost::asio::io_context m_loop{ 1 };
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    EventLoop m_loop;
     LoopSignal m_outboundSignal;
     BoundedRing<PeerEvent> m_inbound;
     BoundedRing<PeerCommand, LoopSignal> m_outbound;
-    tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_acceptTimer;
-    NodeAddress m_address;
+    TcpListener m_listener;
     std::unordered_map<NodeId, NodeAddress> m_addresses;
     std::unordered_map<NodeId, std::shared_ptr<OutgoingPeer>> m_peers;
     std::vector<NodeId> m_lost;
-    std::thread m_thread;
 };
 
 PeerTransport::PeerTransport(const Options &options, WakeSignal &inboundSignal)
