--- a/include/lagoonroute/configuration/resources.h
+++ b/include/lagoonroute/configuration/resources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -19,6 +20,22 @@
         return cpuMillis <= free.cpuMillis && memoryMegabytes <= free.memoryMegabytes && accelerators <= free.accelerators;
     }
 
+    /** Returns the sum of both. */
+    friend Resources operator+(const Resources &left, const Resources &right) noexcept
+    {
+        return { left.cpuMillis + right.cpuMillis,
+                 left.memoryMegabytes + right.memoryMegabytes,
+                 static_cast<std::uint16_t>(left.accelerators + right.accelerators) };
+    }
+
+    /** Returns what is left of the first without the second; nothing falls below zero. */
+    friend Resources operator-(const Resources &left, const Resources &right) noexcept
+    {
+        return { left.cpuMillis - std::min(left.cpuMillis, right.cpuMillis),
+                 left.memoryMegabytes - std::min(left.memoryMegabytes, right.memoryMegabytes),
+                 static_cast<std::uint16_t>(left.accelerators - std::min(left.accelerators, right.accelerators)) };
+    }
+
     auto operator<=>(const Resources &) const = default;
 };
 
--- a/modules/dispatch/executorcore.cpp
+++ b/modules/dispatch/executorcore.cpp
@@ -14,29 +14,13 @@
 constexpr std::size_t maxClosedTasks = 500'000;
 constexpr std::size_t maxResultBytes = 32U << 20U;
 constexpr std::uint32_t defaultQueueDepth = 1;
-constexpr Duration firstRepeatDelay = std::chrono::seconds(5);
 constexpr Duration longestRepeatDelay = std::chrono::seconds(60);
-constexpr Duration reconnectDelay = std::chrono::milliseconds(20);
 
 /** Time beyond a task's timeout in which the adapter reports it, before the executor gives the call up. */
 constexpr Duration timeoutMargin = std::chrono::seconds(1);
 
 constexpr std::uint32_t everyAttempt = std::numeric_limits<std::uint32_t>::max();
 
-Resources plus(const Resources &used, const Resources &need)
-{
-    return Resources{ .cpuMillis = used.cpuMillis + need.cpuMillis,
-                      .memoryMegabytes = used.memoryMegabytes + need.memoryMegabytes,
-                      .accelerators = static_cast<std::uint16_t>(used.accelerators + need.accelerators) };
-}
-
-Resources minus(const Resources &used, const Resources &need)
-{
-    return Resources{ .cpuMillis = used.cpuMillis - need.cpuMillis,
-                      .memoryMegabytes = used.memoryMegabytes - need.memoryMegabytes,
-                      .accelerators = static_cast<std::uint16_t>(used.accelerators - need.accelerators) };
-}
-
 } // namespace
 
 ExecutorCore::ExecutorCore(NodeId self, Incarnation incarnation)
@@ -160,7 +144,7 @@
 {
     const std::size_t slots = std::min(upstream.offer.slots, upstream.offer.connections);
     const Resources &capacity = upstream.offer.capacity;
-    return upstream.isPresent && !m_stopping && upstream.running < slots && (capacity == Resources{} || plus(upstream.used, need).fitsInto(capacity));
+    return upstream.isPresent && !m_stopping && upstream.running < slots && (capacity == Resources{} || (upstream.used + need).fitsInto(capacity));
 }
 
 bool ExecutorCore::isMeant(Incarnation incarnation) const noexcept
@@ -184,7 +168,7 @@
     task.phase = Phase::Running;
     ++m_running;
     ++upstream.running;
-    upstream.used = plus(upstream.used, task.start.need);
+    upstream.used = upstream.used + task.start.need;
     setDue(task, now + task.start.timeout + timeoutMargin);
     actions.emplace_back(CallUpstream{ task.start.task, task.start.shard.service, task.start.path, std::exchange(task.start.body, {}), task.start.timeout });
 }
@@ -270,78 +254,6 @@
     actions.emplace_back(SendMessage{ home, std::move(answer) });
 }
 
-void ExecutorCore::acknowledge(const AcknowledgeResults &message, Instant now)
-{
-    for (const TaskId &id : message.tasks) {
-        const auto found = m_tasks.find(id);
-        if (found == m_tasks.end() || !found->second.finished) {
-            continue;
-        }
-        m_resultBytes -= found->second.finished->result.body.size();
-        m_unacknowledged.erase(id);
-        erase(id);
-        close(id, {}, true, now);
-    }
-}
-
-void ExecutorCore::finish(const TaskId &id, Reason failure, const TaskResult &result, Duration runTime, Instant now, Actions &actions)
-{
-    const auto found = m_tasks.find(id);
-    if (found == m_tasks.end() || found->second.phase != Phase::Running) {
-        return;
-    }
-    Task &task = found->second;
-    endRun(task);
-    task.phase = Phase::Finished;
-    task.finished = TaskFinished{ task.start.shard, task.start.epoch, id, failure, result, runTime };
-    m_resultBytes += result.body.size();
-    m_unacknowledged.insert(id);
-    task.repeatDelay = firstRepeatDelay;
-    setDue(task, now + task.repeatDelay);
-    sendResult(task, actions);
-    beginQueued(m_upstreams.at(task.start.shard.service), now, actions);
-}
-
-void ExecutorCore::breakOff(const UpstreamBroke &event, Instant now, Actions &actions)
-{
-    if (event.started) {
-        finish(event.task, event.reason, TaskResult{}, event.runTime, now, actions);
-        return;
-    }
-    const auto found = m_tasks.find(event.task);
-    if (found == m_tasks.end() || found->second.phase != Phase::Running) {
-        return;
-    }
-    endRun(found->second);
-    const StartTask message = found->second.start;
-    erase(event.task);
-    refuse(message, m_homes.at(message.shard).node, event.reason, now, actions);
-    beginQueued(m_upstreams.at(message.shard.service), now, actions);
-}
-
-void ExecutorCore::endRun(Task &task)
-{
-    Upstream &upstream = m_upstreams.at(task.start.shard.service);
-    --m_running;
-    --upstream.running;
-    upstream.used = minus(upstream.used, task.start.need);
-}
-
-void ExecutorCore::sendResult(const Task &task, Actions &actions) const
-{
-    actions.emplace_back(SendMessage{ m_homes.at(task.start.shard).node, *task.finished });
-}
-
-void ExecutorCore::loseConnection(NodeId peer, Instant now)
-{
-    for (const TaskId &id : m_unacknowledged) {
-        Task &task = m_tasks.at(id);
-        if (m_homes.at(task.start.shard).node == peer && now + reconnectDelay < task.due) {
-            setDue(task, now + reconnectDelay);
-        }
-    }
-}
-
 void ExecutorCore::changeView(const ShardView &view, Actions &actions)
 {
     KnownHome &known = m_homes[view.key];
--- a/modules/placement/workeraccounts.cpp
+++ b/modules/placement/workeraccounts.cpp
@@ -6,25 +6,6 @@
 namespace lagoonroute
 {
 
-namespace
-{
-
-Resources sum(const Resources &left, const Resources &right)
-{
-    return { left.cpuMillis + right.cpuMillis,
-             left.memoryMegabytes + right.memoryMegabytes,
-             static_cast<std::uint16_t>(left.accelerators + right.accelerators) };
-}
-
-Resources difference(const Resources &left, const Resources &right)
-{
-    return { left.cpuMillis - std::min(left.cpuMillis, right.cpuMillis),
-             left.memoryMegabytes - std::min(left.memoryMegabytes, right.memoryMegabytes),
-             static_cast<std::uint16_t>(left.accelerators - std::min(left.accelerators, right.accelerators)) };
-}
-
-} // namespace
-
 std::uint32_t WorkerAccount::slots() const noexcept
 {
     if (!m_known) {
@@ -35,7 +16,7 @@
 
 bool WorkerAccount::fits(const Resources &need) const noexcept
 {
-    return need.fitsInto(difference(m_state.capacity, m_used));
+    return need.fitsInto(m_state.capacity - m_used);
 }
 
 void WorkerAccounts::update(const WorkerState &worker)
@@ -54,7 +35,7 @@
         task.incarnation = isFirst ? worker.incarnation : task.incarnation;
         if (task.incarnation == worker.incarnation) {
             ++account.m_assigned;
-            account.m_used = sum(account.m_used, task.demand.need);
+            account.m_used = account.m_used + task.demand.need;
         }
     }
     const bool isCovered = fitsAnyClass(worker.capacity);
@@ -90,7 +71,7 @@
     task.incarnation = account.m_state.incarnation;
     ++account.m_assigned;
     m_assigned += account.takesWork() ? 1 : 0;
-    account.m_used = sum(account.m_used, task.demand.need);
+    account.m_used = account.m_used + task.demand.need;
     account.m_tasks.push_back(std::move(task));
 }
 
@@ -111,7 +92,7 @@
     if (settled.incarnation == account.m_state.incarnation) {
         --account.m_assigned;
         m_assigned -= account.takesWork() ? 1 : 0;
-        account.m_used = difference(account.m_used, settled.demand.need);
+        account.m_used = account.m_used - settled.demand.need;
     }
     if (!account.m_known && account.m_tasks.empty()) {
         m_accounts.erase(found);
