--- a/cmake/LagoonModule.cmake
+++ b/cmake/LagoonModule.cmake
@@ -12,7 +12,7 @@
     set_target_properties(lagoonroute-${name} PROPERTIES LINKER_LANGUAGE CXX)
 
     file(GLOB testSources CONFIGURE_DEPENDS ${directory}/tests/*.cpp)
-    if(testSources)
+    if(testSources AND LAGOON_TESTS)
         add_executable(${name}-tests ${testSources} ${PROJECT_SOURCE_DIR}/cmake/testmain.cpp)
         target_include_directories(${name}-tests PRIVATE ${directory})
         target_link_libraries(${name}-tests PRIVATE lagoonroute-${name} Boost::unit_test_framework rapidcheck)
--- /dev/null
+++ b/include/lagoonroute/app/dialectstore.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <lagoonroute/app/dialect.h>
+#include <lagoonroute/http/httpclient.h>
+#include <lagoonroute/platform/storeport.h>
+
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** StorePort that speaks a dialect over HTTP on an event loop of the caller's. It repeats nothing. */
+template <Dialect D>
+class DialectStore
+{
+public:
+    /** Time for a response, beyond the wait of a watch. */
+    static constexpr Duration responseTime = std::chrono::milliseconds(700);
+    /** Calls at once; further ones are not sent. */
+    static constexpr std::size_t maxOpenCalls = 16;
+
+    /** Creates a port to the store; `onReply` is called when drain() has something. */
+    DialectStore(HttpClient &client, NodeAddress server, std::function<void()> onReply)
+        : m_client(client)
+        , m_server(std::move(server))
+        , m_onReply(std::move(onReply))
+    {
+    }
+
+    /** Sends a call. Returns false, having sent nothing, when too many are open. */
+    bool submit(StoreCall &&call)
+    {
+        if (m_openCalls >= maxOpenCalls) {
+            return false;
+        }
+        ++m_openCalls;
+        const auto *watch = std::get_if<StoreWatch>(&call.operation);
+        const Duration timeout = responseTime + (watch == nullptr ? Duration(0) : watch->wait);
+        m_client.call(m_server, D::storeCall(call.operation), timeout, [this, call](const HttpResult &result) {
+            StoreReply reply = D::storeReply(call.operation, result);
+            reply.number = call.number;
+            --m_openCalls;
+            m_replies.push_back(std::move(reply));
+            m_onReply();
+        });
+        return true;
+    }
+
+    /** Passes the answers that have come to `consume`. */
+    template <typename Consumer>
+    void drain(Consumer &&consume)
+    {
+        for (StoreReply &reply : std::exchange(m_replies, {})) {
+            consume(std::move(reply));
+        }
+    }
+
+private:
+    HttpClient &m_client;
+    NodeAddress m_server;
+    std::function<void()> m_onReply;
+    std::size_t m_openCalls = 0;
+    std::vector<StoreReply> m_replies;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/app/directagentnode.h
@@ -0,0 +1,256 @@
+#pragma once
+
+#include <lagoonroute/app/addresstext.h>
+#include <lagoonroute/app/decisionlog.h>
+#include <lagoonroute/app/dialect.h>
+#include <lagoonroute/app/dialectstore.h>
+#include <lagoonroute/app/directloop.h>
+#include <lagoonroute/app/directsettings.h>
+#include <lagoonroute/base/errors.h>
+#include <lagoonroute/direct/direct.h>
+#include <lagoonroute/http/httpclient.h>
+#include <lagoonroute/http/httpserver.h>
+#include <lagoonroute/observation/metrics.h>
+#include <lagoonroute/platform/keyfollower.h>
+#include <lagoonroute/platform/storeclient.h>
+#include <lagoonroute/transport/linkendpoint.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lagoonroute
+{
+
+/** A process of the role `direct-agent`: the only way of work to the upstream beside it. */
+template <Dialect D>
+class DirectAgentNode
+{
+public:
+    /** Opens every listener. Throws NetworkError when an address is taken, InvalidDocument when a setting is missing. */
+    DirectAgentNode(DirectSettings settings, const std::string &settingsPath)
+        : m_settings(std::move(settings))
+        , m_upstream(addressFromText(m_settings.upstream))
+        , m_loop(settingsPath,
+                 { [this](Instant now) { return turn(now); },
+                   [this](Instant now) {
+                       m_core.stalled(now, m_actions);
+                       carryOut(now);
+                   },
+                   [this](Instant now) { stop(now); },
+                   [this, settingsPath] { reload(settingsPath); } })
+        , m_core(UpstreamCore::Options()
+                     .withNode(m_settings.node, m_settings.zone, static_cast<Incarnation>(MonotonicClock::nowWithSuspension().time_since_epoch().count()))
+                     .withOfferLifetime(m_settings.offerLifetime))
+        , m_plan(DialPlan::Options())
+        , m_contactsFollower(KeyFollower::Options().withKey(entryContactsKey, StorePurpose::Contact).withSeed(NodeId::fromName(m_settings.node).value),
+                             contactsCall)
+        , m_client(m_loop.context())
+        , m_storePort(m_client, addressFromText(m_settings.store), [this] { m_loop.requestTurn(); })
+        , m_store(StoreClientCore::Options().withReads(2, 4).withSeed(NodeId::fromName(m_settings.node).value), m_storePort)
+        , m_links(m_loop.context(),
+                  std::nullopt,
+                  { [this](LinkId link) {
+                       m_plan.opened(link);
+                       m_core.openLink(link, m_loop.enter(), m_actions);
+                   },
+                    [this](LinkId link, LinkMessage &&message) { receive(link, message); },
+                    [this](LinkId link) {
+                        const Instant now = m_loop.enter();
+                        m_plan.closed(link, now);
+                        m_core.closeLink(link, now, m_actions);
+                    },
+                    [this] { m_loop.requestTurn(); } })
+        , m_announce(m_loop.context(),
+                     HttpServer::Options().withAddress(addressFromText(m_settings.announce)),
+                     [this](const std::shared_ptr<HttpExchange> &exchange) { announced(exchange); })
+    {
+        if (!m_settings.metrics.empty()) {
+            m_metricsServer.emplace(m_loop.context(), HttpServer::Options().withAddress(addressFromText(m_settings.metrics)), [this](const auto &exchange) {
+                exchange->respond(HttpResponse{ .status = 200, .contentType = "text/plain; version=0.0.4", .body = renderMetrics() });
+            });
+        }
+        const Instant now = m_loop.enter();
+        m_lastEntryAt = now;
+        m_plan.learn(m_settings.contactAddresses(), now);
+        logLine(LogLevel::Info, "started", { { "role", "direct-agent" }, { "zone", m_settings.zone }, { "upstream", m_settings.upstream } });
+    }
+
+    /** Runs until a stop signal has been carried out. */
+    void run()
+    {
+        m_loop.run();
+        logLine(LogLevel::Info, "stopped", { { "runs", static_cast<std::int64_t>(m_core.runs()) } });
+    }
+
+private:
+    static constexpr std::uint64_t contactsCall = 1;
+    /** Without an entry for so long, the store is asked for others. */
+    static constexpr Duration lonelyTime = std::chrono::milliseconds(1000);
+    /** For the answer of the upstream, which runs on the same host. */
+    static constexpr Duration orderTime = std::chrono::milliseconds(200);
+
+    std::optional<Instant> turn(Instant now)
+    {
+        seekEntries(now);
+        for (const std::string &address : m_plan.due(now)) {
+            m_plan.dialled(address, m_links.dial(addressFromText(address)));
+        }
+        m_core.elapse(now, m_actions);
+        carryOut(now);
+        if (m_stopAt && (m_core.runs() == 0 || now >= *m_stopAt + m_settings.drainLimit)) {
+            m_loop.finish();
+        }
+        std::optional<Instant> wake = m_core.nextWake();
+        for (const auto &other : { m_plan.nextWake(), m_store.nextWake() }) {
+            wake = !other ? wake : (!wake ? other : std::min(*wake, *other));
+        }
+        return wake;
+    }
+
+    /** Asks the store for entries, but only while none is reached, so that its load does not grow with the agents. */
+    void seekEntries(Instant now)
+    {
+        m_store.drain(now, [this, now](const StoreReply &reply) {
+            if (const auto entry = m_contactsFollower.handle(reply, now)) {
+                m_plan.learn(readEntryContacts(entry->value), now);
+            }
+        });
+        if (m_core.entries() > 0) {
+            m_lastEntryAt = now;
+            return;
+        }
+        if (now - m_lastEntryAt < lonelyTime) {
+            return;
+        }
+        if (const auto call = m_contactsFollower.next(now)) {
+            m_store.submit(*call, now);
+        }
+    }
+
+    void receive(LinkId link, const LinkMessage &message)
+    {
+        const Instant now = m_loop.enter();
+        if (const auto *list = std::get_if<EntryList>(&message)) {
+            m_plan.learn(list->addresses, now);
+        }
+        m_core.receive(link, message, now, m_actions);
+    }
+
+    void announced(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const Instant now = m_loop.enter();
+        const UpstreamNotice notice = D::notice(exchange->request());
+        if (const auto *report = std::get_if<UpstreamReport>(&notice)) {
+            m_core.handle(*report, now, m_actions);
+        } else if (const auto *left = std::get_if<UpstreamLeft>(&notice)) {
+            m_core.handle(*left, now, m_actions);
+        } else {
+            logLine(LogLevel::Warning, "report-unreadable", { { "target", exchange->request().target } });
+            exchange->respond(HttpResponse{ .status = 400 });
+            return;
+        }
+        exchange->respond(D::noticeTaken());
+        m_loop.requestTurn();
+    }
+
+    void carryOut(Instant now)
+    {
+        for (std::size_t index = 0; index < m_actions.size(); ++index) {
+            UpstreamAction action = std::move(m_actions[index]);
+            if (auto *send = std::get_if<SendOnLink>(&action)) {
+                m_links.send(send->link, send->message);
+            } else if (auto *close = std::get_if<CloseLink>(&action)) {
+                m_links.close(close->link);
+                m_plan.closed(close->link, now);
+            } else if (auto *start = std::get_if<OrderStart>(&action)) {
+                order(*start);
+            } else if (auto *stopOrder = std::get_if<OrderStop>(&action)) {
+                order(*stopOrder);
+            } else if (auto *look = std::get_if<OrderLook>(&action)) {
+                order(*look);
+            } else {
+                logDecision(std::get<DecisionNote>(action));
+            }
+        }
+        m_actions.clear();
+    }
+
+    void order(const OrderStart &start)
+    {
+        m_metrics.counter("lagoonroute_orders_total", { { "order", "start" } }).add();
+        m_client.call(m_upstream, D::order(start), orderTime, [this, task = start.task, run = start.run](const HttpResult &result) {
+            m_core.handle(StartAnswered{ task, run, D::orderResult(result) }, m_loop.enter(), m_actions);
+            m_loop.requestTurn();
+        });
+    }
+
+    void order(const OrderStop &stopOrder)
+    {
+        m_metrics.counter("lagoonroute_orders_total", { { "order", "stop" } }).add();
+        m_client.call(m_upstream, D::order(stopOrder), orderTime, [this, task = stopOrder.task, run = stopOrder.run](const HttpResult &result) {
+            m_core.handle(StopAnswered{ task, run, D::orderResult(result) }, m_loop.enter(), m_actions);
+            m_loop.requestTurn();
+        });
+    }
+
+    void order(const OrderLook &look)
+    {
+        m_metrics.counter("lagoonroute_orders_total", { { "order", "look" } }).add();
+        m_client.call(m_upstream, D::order(look), look.wait + orderTime, [this, number = look.look](const HttpResult &result) {
+            LookAnswered answer = D::lookAnswer(result);
+            answer.look = number;
+            m_core.handle(answer, m_loop.enter(), m_actions);
+            m_loop.requestTurn();
+        });
+    }
+
+    void stop(Instant now)
+    {
+        if (m_stopAt) {
+            m_loop.finish();
+            return;
+        }
+        m_stopAt = now;
+        m_core.beginStop(now, m_actions);
+    }
+
+    void reload(const std::string &path)
+    {
+        try {
+            const DirectSettings changed = DirectSettings::fromFile(path);
+            m_plan.learn(changed.contactAddresses(), m_loop.enter());
+            logLine(LogLevel::Info, "reloaded", { { "contacts", static_cast<std::int64_t>(changed.contacts.size()) } });
+        } catch (const Error &error) {
+            logLine(LogLevel::Warning, "reload-failed", { { "fault", error.what() } });
+        }
+    }
+
+    std::string renderMetrics()
+    {
+        m_metrics.gauge("lagoonroute_runs").set(static_cast<std::int64_t>(m_core.runs()));
+        m_metrics.gauge("lagoonroute_free_processors").set(m_core.freeRoom().cpuMillis);
+        m_metrics.gauge("lagoonroute_entries").set(static_cast<std::int64_t>(m_core.entries()));
+        m_metrics.gauge("lagoonroute_upstream_open").set(m_core.isOpen() ? 1 : 0);
+        return m_metrics.render();
+    }
+
+    DirectSettings m_settings;
+    NodeAddress m_upstream;
+    UpstreamActions m_actions;
+    MetricsRegistry m_metrics;
+    DirectLoop m_loop;
+    UpstreamCore m_core;
+    DialPlan m_plan;
+    KeyFollower m_contactsFollower;
+    HttpClient m_client;
+    DialectStore<D> m_storePort;
+    StoreClient<DialectStore<D>> m_store;
+    std::optional<Instant> m_stopAt;
+    Instant m_lastEntryAt;
+    LinkEndpoint m_links;
+    HttpServer m_announce;
+    std::optional<HttpServer> m_metricsServer;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/app/directentrynode.h
@@ -0,0 +1,444 @@
+#pragma once
+
+#include <lagoonroute/app/addresstext.h>
+#include <lagoonroute/app/decisionlog.h>
+#include <lagoonroute/app/dialect.h>
+#include <lagoonroute/app/dialectstore.h>
+#include <lagoonroute/app/directloop.h>
+#include <lagoonroute/app/directsettings.h>
+#include <lagoonroute/base/errors.h>
+#include <lagoonroute/direct/direct.h>
+#include <lagoonroute/http/httpclient.h>
+#include <lagoonroute/http/httpserver.h>
+#include <lagoonroute/observation/metrics.h>
+#include <lagoonroute/platform/keyfollower.h>
+#include <lagoonroute/platform/storeclient.h>
+#include <lagoonroute/transport/linkendpoint.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lagoonroute
+{
+
+/** A process of the role `direct-entry`: serves client accounts over HTTP and hands tasks to agents over links. */
+template <Dialect D>
+class DirectEntryNode
+{
+public:
+    /** Opens every listener. Throws NetworkError when an address is taken, InvalidDocument when a setting is missing. */
+    DirectEntryNode(DirectSettings settings, const std::string &settingsPath)
+        : m_settings(std::move(settings))
+        , m_loop(settingsPath,
+                 { [this](Instant now) { return turn(now); },
+                   [this](Instant now) {
+                       m_core.stalled(now, m_actions);
+                       carryOut(now);
+                   },
+                   [this](Instant now) { stop(now); },
+                   [this, settingsPath] { reload(settingsPath); } })
+        , m_core(DirectEntryCore::Options().withNode(m_settings.node, m_settings.link).withZone(m_settings.zone))
+        , m_plan(DialPlan::Options().withSelf(m_settings.link))
+        , m_routesFollower(KeyFollower::Options().withKey(D::routesKey(), StorePurpose::Configuration).withSeed(seed()), routesCall)
+        , m_contactsFollower(
+              KeyFollower::Options().withKey(entryContactsKey, StorePurpose::Contact).withWatchWait(std::chrono::seconds(10)).withSeed(seed() + 1),
+              contactsCall)
+        , m_client(m_loop.context())
+        , m_storePort(m_client, addressFromText(m_settings.store), [this] { m_loop.requestTurn(); })
+        , m_store(storeLimits(seed()), m_storePort)
+        , m_links(m_loop.context(),
+                  addressFromText(m_settings.link),
+                  { [this](LinkId link) {
+                       m_plan.opened(link);
+                       m_core.openLink(link, m_loop.enter(), m_actions);
+                   },
+                    [this](LinkId link, LinkMessage &&message) { receive(link, std::move(message)); },
+                    [this](LinkId link) { closed(link); },
+                    [this] { m_loop.requestTurn(); } })
+        , m_callers(m_loop.context(),
+                    HttpServer::Options().withAddress(addressFromText(m_settings.callers)).withMaxBodyBytes(maxBodyBytes),
+                    [this](const std::shared_ptr<HttpExchange> &exchange) { serve(exchange); })
+        , m_ready(m_loop.context(),
+                  HttpServer::Options().withAddress(addressFromText(m_settings.ready)),
+                  [this](const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(readiness(exchange->request())); })
+    {
+        if (!m_settings.metrics.empty()) {
+            m_metricsServer.emplace(m_loop.context(), HttpServer::Options().withAddress(addressFromText(m_settings.metrics)), [this](const auto &exchange) {
+                exchange->respond(HttpResponse{ .status = 200, .contentType = "text/plain; version=0.0.4", .body = renderMetrics() });
+            });
+        }
+        m_plan.learn(m_settings.contactAddresses(), m_loop.enter());
+        logLine(LogLevel::Info, "started", { { "role", "direct-entry" }, { "zone", m_settings.zone }, { "callers", m_settings.callers } });
+    }
+
+    /** Runs until a stop signal has been carried out. */
+    void run()
+    {
+        m_loop.run();
+        logLine(LogLevel::Info, "stopped", { { "openJobs", static_cast<std::int64_t>(m_core.openJobs()) } });
+    }
+
+private:
+    static constexpr std::uint64_t routesCall = 1;
+    static constexpr std::uint64_t contactsCall = 2;
+    static constexpr std::uint64_t contactsSwapCall = 3;
+    static constexpr std::size_t maxBodyBytes = 1U << 20U; /**< Beyond the limit that a configuration sets. */
+    static constexpr std::size_t maxDocumentKeepers = 3; /**< Agents that are given the configuration; they hand it to every entry. */
+
+    struct OpenRequest
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        Instant arrived;
+    };
+
+    [[nodiscard]] std::uint64_t seed() const
+    {
+        return NodeId::fromName(m_settings.node).value;
+    }
+
+    static StoreClientCore::Options storeLimits(std::uint64_t seedValue)
+    {
+        // Two keys are watched; a lost answer leads to a read.
+        return StoreClientCore::Options()
+            .withReads(20, 20)
+            .withWrites(2, 5)
+            .withTimeout(std::chrono::milliseconds(900))
+            .withBackoff(std::chrono::milliseconds(150), std::chrono::milliseconds(600))
+            .withSeed(seedValue);
+    }
+
+    std::optional<Instant> turn(Instant now)
+    {
+        followStore(now);
+        for (const std::string &address : m_plan.due(now)) {
+            m_plan.dialled(address, m_links.dial(addressFromText(address)));
+        }
+        m_core.elapse(now, m_actions);
+        carryOut(now);
+        if (m_stopAt) {
+            const bool isIdle = m_callers.busy() == 0 && now >= *m_stopAt + m_settings.withdrawTime;
+            if (isIdle || now >= *m_stopAt + m_settings.drainLimit) {
+                m_loop.finish();
+            }
+        }
+        std::optional<Instant> wake = m_core.nextWake();
+        for (const auto &other : { m_routesFollower.nextWake(), m_contactsFollower.nextWake(), m_store.nextWake(), m_plan.nextWake() }) {
+            wake = !other ? wake : (!wake ? other : std::min(*wake, *other));
+        }
+        return wake;
+    }
+
+    void followStore(Instant now)
+    {
+        m_store.drain(now, [this, now](const StoreReply &reply) {
+            if (reply.number == routesCall) {
+                if (const auto entry = m_routesFollower.handle(reply, now)) {
+                    take(OfferDocument{ 0, entry->value }, "store", now);
+                }
+                noteStoreContact(m_routesFollower.isInContact());
+            } else if (reply.number == contactsCall) {
+                if (const auto entry = m_contactsFollower.handle(reply, now)) {
+                    learnContacts(readEntryContacts(entry->value), now);
+                }
+                m_mayAddContact = m_contactsFollower.isInContact();
+            } else if (reply.number == contactsSwapCall) {
+                m_isAddingContact = false;
+                m_contactsFollower.refresh(now);
+            }
+        });
+        for (KeyFollower *follower : { &m_routesFollower, &m_contactsFollower }) {
+            if (const auto call = follower->next(now)) {
+                m_store.submit(*call, now);
+            }
+        }
+        if (m_mayAddContact && !m_isAddingContact && !m_stopAt) {
+            if (const auto swap = addEntryContact(m_contactsFollower.entry(), m_settings.link)) {
+                m_isAddingContact = true;
+                m_mayAddContact = false;
+                m_store.submit(StoreCall{ contactsSwapCall, StorePurpose::Contact, *swap }, now);
+            }
+        }
+    }
+
+    void noteStoreContact(bool isInContact)
+    {
+        if (isInContact != m_isStoreInContact) {
+            m_isStoreInContact = isInContact;
+            logLine(isInContact ? LogLevel::Info : LogLevel::Warning, isInContact ? "store-back" : "store-lost", { { "address", m_settings.store } });
+        }
+    }
+
+    void learnContacts(const std::vector<std::string> &addresses, Instant now)
+    {
+        if (!m_plan.learn(addresses, now)) {
+            return;
+        }
+        std::vector<std::string> known = m_plan.addresses();
+        known.push_back(m_settings.link);
+        for (const auto &[node, agent] : m_core.board().agents()) {
+            if (agent.link != 0) {
+                m_links.send(agent.link, EntryList{ known });
+            }
+        }
+        for (const auto &[link, name] : m_entryLinks) {
+            m_links.send(link, EntryList{ known });
+        }
+    }
+
+    void take(OfferDocument offered, const std::string &source, Instant now)
+    {
+        if (offered.version != 0 && offered.version <= m_document.version) {
+            return;
+        }
+        auto routes = D::routes(offered.document);
+        if (!routes) {
+            logLine(LogLevel::Warning, "configuration-unreadable", { { "source", source }, { "bytes", static_cast<std::int64_t>(offered.document.size()) } });
+            return;
+        }
+        const std::uint64_t version = routes->version();
+        if (!m_core.setRoutes(std::move(*routes), now, m_actions)) {
+            return;
+        }
+        logLine(LogLevel::Info, "configuration", { { "version", static_cast<std::int64_t>(version) }, { "source", source } });
+        m_document = OfferDocument{ version, std::move(offered.document) };
+        m_holders.clear();
+        spreadDocument();
+    }
+
+    /** Gives the newest configuration to the other entries and to the agents that keep it. */
+    void spreadDocument()
+    {
+        if (m_document.version == 0) {
+            return;
+        }
+        std::size_t keepers = 0;
+        for (const auto &[node, agent] : m_core.board().agents()) {
+            if (agent.link == 0 || keepers == maxDocumentKeepers) {
+                continue;
+            }
+            ++keepers;
+            giveDocument(agent.link);
+        }
+        for (const auto &[link, name] : m_entryLinks) {
+            giveDocument(link);
+        }
+    }
+
+    void giveDocument(LinkId link)
+    {
+        if (m_holders.insert(link).second) {
+            m_links.send(link, m_document);
+        }
+    }
+
+    void receive(LinkId link, LinkMessage &&message)
+    {
+        const Instant now = m_loop.enter();
+        if (const auto *hello = std::get_if<EntryHello>(&message)) {
+            m_entryLinks[link] = hello->node;
+            std::set<std::string> peers;
+            for (const auto &[other, name] : m_entryLinks) {
+                peers.insert(name);
+            }
+            m_core.setPeers(peers.size());
+            learnContacts({ hello->address }, now);
+            spreadDocument();
+        } else if (auto *offered = std::get_if<OfferDocument>(&message)) {
+            m_holders.insert(link);
+            take(std::move(*offered), "link", now);
+        } else if (const auto *list = std::get_if<EntryList>(&message)) {
+            learnContacts(list->addresses, now);
+        }
+        m_core.receive(link, message, now, m_actions);
+        if (std::holds_alternative<AgentHello>(message)) {
+            std::vector<std::string> known = m_plan.addresses();
+            known.push_back(m_settings.link);
+            m_links.send(link, EntryList{ known });
+            spreadDocument();
+        }
+    }
+
+    void closed(LinkId link)
+    {
+        const Instant now = m_loop.enter();
+        m_holders.erase(link);
+        m_entryLinks.erase(link);
+        m_plan.closed(link, now);
+        m_core.closeLink(link, now, m_actions);
+    }
+
+    void serve(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const Instant now = m_loop.enter();
+        CallerRequest request = D::callerRequest(exchange->request());
+        if (m_core.routes().version() == 0) {
+            exchange->respond(D::response(DirectAnswer{ DirectVerdict::NotRun, "no-configuration", std::chrono::seconds(1) }));
+            return;
+        }
+        const RouteRule *route = m_core.routes().find(request.host, request.path);
+        if (route == nullptr) {
+            logLine(LogLevel::Info, "unknown-route", { { "host", request.host }, { "path", request.path } });
+            exchange->respond(D::response(DirectAnswer{ DirectVerdict::UnknownRoute, "unknown-route", Duration(0) }));
+            return;
+        }
+        request.id = request.path.substr(route->prefix.size());
+        switch (request.kind) {
+        case CallerRequestKind::Submit:
+            submit(exchange, request, *route, now);
+            break;
+        case CallerRequestKind::State:
+            exchange->respond(request.id.empty() ? D::waitingResponse(m_core.waiting(route->name)) : D::unknownJob());
+            break;
+        case CallerRequestKind::Cancel:
+            exchange->respond(D::unknownJob());
+            break;
+        case CallerRequestKind::Malformed:
+            exchange->respond(D::response(DirectAnswer{ DirectVerdict::Malformed, request.fault, Duration(0) }));
+            break;
+        }
+    }
+
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request, const RouteRule &route, Instant now)
+    {
+        std::optional<DirectJob> job;
+        if (exchange->request().body.size() <= m_core.routes().limits().maxBodyBytes) {
+            job = D::job(exchange->request().body, request.id);
+        }
+        if (!job) {
+            logLine(LogLevel::Info, "malformed-job", { { "job", request.id }, { "route", route.name } });
+            exchange->respond(D::response(DirectAnswer{ DirectVerdict::Malformed, "the body is no job", Duration(0) }));
+            return;
+        }
+        const RequestId id = ++m_lastRequest;
+        m_requests[id] = OpenRequest{ exchange, now };
+        m_metrics.counter("lagoonroute_submissions_total").add();
+        m_core.submit(id, route, *job, request.patience, now, m_actions);
+        carryOut(now);
+        if (m_requests.count(id) != 0) {
+            exchange->watchForClose([this, id] {
+                if (m_requests.erase(id) != 0) {
+                    m_metrics.counter("lagoonroute_abandoned_total").add();
+                    m_core.requestClosed(id, m_loop.enter(), m_actions);
+                    m_loop.requestTurn();
+                }
+            });
+        }
+        m_loop.requestTurn();
+    }
+
+    HttpResponse readiness(const HttpRequest &request)
+    {
+        if (!D::isReadyRequest(request)) {
+            return HttpResponse{ .status = 404 };
+        }
+        const bool isReady = !m_stopAt && m_core.routes().version() != 0 && m_core.board().openAgents() > 0;
+        if (isReady != m_wasReady) {
+            m_wasReady = isReady;
+            logLine(LogLevel::Info, isReady ? "ready" : "not-ready", { { "agents", static_cast<std::int64_t>(m_core.board().openAgents()) } });
+        }
+        return HttpResponse{ .status = isReady ? 200U : 503U };
+    }
+
+    void carryOut(Instant now)
+    {
+        for (std::size_t index = 0; index < m_actions.size(); ++index) {
+            EntryAction action = std::move(m_actions[index]);
+            if (auto *send = std::get_if<SendOnLink>(&action)) {
+                m_links.send(send->link, send->message);
+            } else if (auto *close = std::get_if<CloseLink>(&action)) {
+                m_links.close(close->link);
+                m_holders.erase(close->link);
+                m_entryLinks.erase(close->link);
+                m_plan.closed(close->link, now);
+            } else if (auto *answer = std::get_if<AnswerRequest>(&action)) {
+                respond(*answer, now);
+            } else {
+                logDecision(std::get<DecisionNote>(action));
+            }
+        }
+        m_actions.clear();
+    }
+
+    void respond(const AnswerRequest &answer, Instant now)
+    {
+        const auto found = m_requests.find(answer.request);
+        if (found == m_requests.end()) {
+            return;
+        }
+        const OpenRequest open = std::move(found->second);
+        m_requests.erase(found);
+        const Duration age = now - open.arrived;
+        m_metrics.counter("lagoonroute_answers_total", { { "verdict", std::to_string(static_cast<int>(answer.answer.verdict)) } }).add();
+        m_metrics.summary("lagoonroute_answer_seconds").observe(age);
+        logLine(LogLevel::Info,
+                "answered",
+                { { "job", answer.job },
+                  { "verdict", static_cast<std::int64_t>(answer.answer.verdict) },
+                  { "reason", answer.answer.reason },
+                  { "afterMs", age.count() / 1000 },
+                  { "routes", static_cast<std::int64_t>(m_core.routes().version()) } });
+        open.exchange->respond(D::response(answer.answer));
+    }
+
+    void stop(Instant now)
+    {
+        if (m_stopAt) {
+            m_loop.finish();
+            return;
+        }
+        m_stopAt = now;
+        m_callers.closeAfterResponses();
+        logLine(LogLevel::Info, "stop-begun", { { "openJobs", static_cast<std::int64_t>(m_core.openJobs()) } });
+    }
+
+    void reload(const std::string &path)
+    {
+        try {
+            const DirectSettings changed = DirectSettings::fromFile(path);
+            m_plan.learn(changed.contactAddresses(), m_loop.enter());
+            logLine(LogLevel::Info, "reloaded", { { "contacts", static_cast<std::int64_t>(changed.contacts.size()) } });
+        } catch (const Error &error) {
+            logLine(LogLevel::Warning, "reload-failed", { { "fault", error.what() } });
+        }
+    }
+
+    std::string renderMetrics()
+    {
+        m_metrics.gauge("lagoonroute_open_jobs").set(static_cast<std::int64_t>(m_core.openJobs()));
+        m_metrics.gauge("lagoonroute_open_agents").set(static_cast<std::int64_t>(m_core.board().openAgents()));
+        m_metrics.gauge("lagoonroute_configuration_version").set(static_cast<std::int64_t>(m_core.routes().version()));
+        m_metrics.gauge("lagoonroute_store_in_contact").set(m_isStoreInContact ? 1 : 0);
+        return m_metrics.render();
+    }
+
+    DirectSettings m_settings;
+    EntryActions m_actions;
+    MetricsRegistry m_metrics;
+    DirectLoop m_loop;
+    DirectEntryCore m_core;
+    DialPlan m_plan;
+    KeyFollower m_routesFollower;
+    KeyFollower m_contactsFollower;
+    HttpClient m_client;
+    DialectStore<D> m_storePort;
+    StoreClient<DialectStore<D>> m_store;
+    std::map<RequestId, OpenRequest> m_requests;
+    RequestId m_lastRequest = 0;
+    std::map<LinkId, std::string> m_entryLinks; // links to other entries, and their names
+    std::set<LinkId> m_holders; // links whose other end has the newest configuration
+    OfferDocument m_document;
+    std::optional<Instant> m_stopAt;
+    bool m_wasReady = false;
+    bool m_isStoreInContact = true;
+    bool m_mayAddContact = false;
+    bool m_isAddingContact = false;
+    LinkEndpoint m_links;
+    HttpServer m_callers;
+    HttpServer m_ready;
+    std::optional<HttpServer> m_metricsServer;
+};
+
+} // namespace lagoonroute
--- a/include/lagoonroute/base/time.h
+++ b/include/lagoonroute/base/time.h
@@ -25,6 +25,9 @@
 
     /** Returns the time of the operating system's steady clock. For adapters only. */
     static time_point now() noexcept;
+
+    /** Returns the time of the clock that also counts while the host is suspended. For adapters only. */
+    static time_point nowWithSuspension() noexcept;
 };
 
 /** Point in time of one process. It has no meaning in another process: messages carry remaining durations. */
--- /dev/null
+++ b/include/lagoonroute/direct/agentboard.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <lagoonroute/base/identifiers.h>
+#include <lagoonroute/direct/linkmessages.h>
+#include <lagoonroute/placement/workerhealth.h>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** What a task asks of the agent that is chosen for it. */
+struct PlacementWish
+{
+    std::string service;
+    Resources need;
+    std::string requiredLabel;
+    std::string preferredLabel;
+    std::vector<NodeId> excluded; /**< Agents where the task failed or must not go. */
+
+    auto operator<=>(const PlacementWish &) const = default;
+};
+
+/** An entry's picture of the agents: who is in contact, how much room is left, and how fast and sound each upstream is. */
+class AgentBoard
+{
+public:
+    /** Times and rules. */
+    struct Options
+    {
+        std::string zone; /**< Of this entry; agents there are preferred among equals. */
+        Duration suspectAfter = std::chrono::milliseconds(450); /**< Without a beat; two beats may be late. */
+        double farFactor = 1.5; /**< Run time away from the preferred label, against the run time there. */
+        EjectionRules ejection;
+        StragglerRules straggler;
+
+        Options withZone(std::string name) const;
+    };
+
+    /** One agent. */
+    struct Agent
+    {
+        std::string name;
+        std::string zone;
+        Incarnation incarnation = 0;
+        LinkId link = 0; /**< 0 while there is none. */
+        AgentOffer offer;
+        Resources free; /**< As last stated. */
+        std::uint64_t startsSent = 0; /**< On this link. */
+        std::uint64_t startsHandled = 0;
+        std::deque<Resources> unhandled; /**< Needs of the starts that the stated room does not contain yet. */
+        Instant lastBeat;
+        double slowness = 1; /**< Run times against what is expected of them, smoothed. */
+    };
+
+    explicit AgentBoard(Options options);
+
+    /** An agent has greeted on a link. Returns its identity. */
+    NodeId greet(LinkId link, const AgentHello &hello, Instant now);
+
+    /** A link is gone. Returns the agent that had it. */
+    std::optional<NodeId> closeLink(LinkId link);
+
+    /** Returns the agent of a link, or null. */
+    Agent *byLink(LinkId link);
+
+    /** Returns the agent, or null. */
+    [[nodiscard]] const Agent *find(NodeId node) const;
+
+    void setOffer(LinkId link, const AgentOffer &offer);
+    void setRoom(LinkId link, const AgentRoom &room);
+    void beat(LinkId link, Instant now);
+
+    /** Forgets an agent that has been without a link. */
+    void forget(NodeId node);
+
+    /** Returns the best agent for a task now, or nothing. */
+    [[nodiscard]] std::optional<NodeId> choose(const PlacementWish &wish, Instant now) const;
+
+    /** Notes that a start was sent to the agent. */
+    void startSent(NodeId node, const Resources &need);
+
+    /** Notes that the agent refused a start for want of room; its room counts as taken until it states it again. */
+    void roomRefused(NodeId node);
+
+    /** Learns from the end of a run. */
+    void learn(NodeId node, AttemptResult result, Duration runTime, Duration expected, Instant now);
+
+    /** Marks an agent whose runs take much longer than expected: it gets no starts until one of them ends. */
+    void setStalled(NodeId node, bool stalled);
+
+    /** Room for new starts at an agent. */
+    [[nodiscard]] static Resources room(const Agent &agent);
+
+    /** Tells whether any agent of the service could ever run such a task. */
+    [[nodiscard]] bool couldFit(const PlacementWish &wish) const;
+
+    /** Processors of all agents of a service that take starts, in thousandths. */
+    [[nodiscard]] std::uint64_t openCapacity(const std::string &service) const;
+
+    /** Number of agents that take starts. */
+    [[nodiscard]] std::size_t openAgents() const;
+
+    /** Usual run time at the agent against the expected one. */
+    [[nodiscard]] double slowness(NodeId node) const;
+
+    /** All agents. */
+    [[nodiscard]] const std::map<NodeId, Agent> &agents() const noexcept
+    {
+        return m_agents;
+    }
+
+private:
+    [[nodiscard]] bool isUsable(const Agent &agent, Instant now) const;
+
+    Options m_options;
+    std::map<NodeId, Agent> m_agents;
+    std::map<LinkId, NodeId> m_byLink;
+    WorkerHealth m_health;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/direct/direct.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/**
+ * Module direct: jobs without a record, decided by the entry that took them and run by upstreams under leases.
+ *
+ * DirectEntryCore decides for an entry, UpstreamCore for the agent beside an upstream; both are free of sockets and
+ * clocks. Depends on base, configuration and placement.
+ */
+
+#include <lagoonroute/direct/agentboard.h>
+#include <lagoonroute/direct/dialplan.h>
+#include <lagoonroute/direct/directentrycore.h>
+#include <lagoonroute/direct/directjob.h>
+#include <lagoonroute/direct/entrycontacts.h>
+#include <lagoonroute/direct/linkmessages.h>
+#include <lagoonroute/direct/routetable.h>
+#include <lagoonroute/direct/upstreamcore.h>
+#include <lagoonroute/direct/upstreamevents.h>
--- /dev/null
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <lagoonroute/direct/agentboard.h>
+#include <lagoonroute/direct/routetable.h>
+#include <lagoonroute/direct/upstreamevents.h>
+#include <lagoonroute/placement/runtimeestimator.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lagoonroute
+{
+
+/** Number of a client account's request within one process. */
+using RequestId = std::uint64_t;
+
+/** Answer a request. */
+struct AnswerRequest
+{
+    RequestId request = 0;
+    std::string job;
+    DirectAnswer answer;
+
+    auto operator<=>(const AnswerRequest &) const = default;
+};
+
+/** What DirectEntryCore asks for. */
+using EntryAction = std::variant<AnswerRequest, SendOnLink, CloseLink, DecisionNote>;
+
+/** Actions of one step, in order. */
+using EntryActions = std::vector<EntryAction>;
+
+/**
+ * Decides for one entry about the jobs that it took: admission, order, placement, retries and the one answer.
+ *
+ * A task is placed again only when its last run is proved to be over: by its end, by a refusal, by the greeting of its
+ * agent on a new link, or by the end of every lease that the agent could still hold.
+ */
+class DirectEntryCore
+{
+public:
+    /** Identity and times. */
+    struct Options
+    {
+        std::string node;
+        std::string address; /**< Where other processes reach this entry, "ip:port". */
+        AgentBoard::Options board;
+        Duration linkSilence = std::chrono::milliseconds(900); /**< Without a beat, after which a link is closed; an agent gives up after 700. */
+        Duration proofTime = std::chrono::milliseconds(1650); /**< After the last echo: the agent's 700, the lease of 800 on a slow clock, and a stop. */
+        Duration answerRetention = std::chrono::seconds(10); /**< For which a resubmission gets the answer that was given. */
+        std::size_t maxKeptAnswers = 4096;
+        std::size_t maxJobs = 20'000; /**< Further submissions are refused. */
+        double overdueFactor = 3; /**< Times the expected run time, after which a run is taken elsewhere. */
+        Duration overdueMargin = std::chrono::milliseconds(150); /**< On top, for the ways and the upstream's list. */
+        double usefulFactor = 1.25; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
+
+        Options withNode(std::string name, std::string ownAddress) const;
+        Options withZone(const std::string &zone) const;
+    };
+
+    explicit DirectEntryCore(Options options);
+
+    /** Routes in force; only a table with a higher version replaces the one before. Returns whether it did. */
+    bool setRoutes(RouteTable routes, Instant now, EntryActions &actions);
+
+    /** Routes in force. */
+    [[nodiscard]] const RouteTable &routes() const noexcept
+    {
+        return m_routes;
+    }
+
+    /** A client account hands a job in; it waits for the answer for the given time, or zero for the route's. */
+    void submit(RequestId request, const RouteRule &route, const DirectJob &job, Duration patience, Instant now, EntryActions &actions);
+
+    /** The client account of a request is gone. */
+    void requestClosed(RequestId request, Instant now, EntryActions &actions);
+
+    void openLink(LinkId link, Instant now, EntryActions &actions);
+    void closeLink(LinkId link, Instant now, EntryActions &actions);
+    void receive(LinkId link, const LinkMessage &message, Instant now, EntryActions &actions);
+
+    /** The process stood still for so long that no link counts any more. */
+    void stalled(Instant now, EntryActions &actions);
+
+    /** Other entries that share the upstreams with this one. */
+    void setPeers(std::size_t count);
+
+    void elapse(Instant now, EntryActions &actions);
+    [[nodiscard]] std::optional<Instant> nextWake() const;
+
+    /** Number of jobs of a route of which no task has started. */
+    [[nodiscard]] std::size_t waiting(const std::string &route) const;
+
+    /** Number of jobs without an answer. */
+    [[nodiscard]] std::size_t openJobs() const;
+
+    [[nodiscard]] const AgentBoard &board() const noexcept
+    {
+        return m_board;
+    }
+
+private:
+    enum class TaskPhase : std::uint8_t {
+        Blocked, // an earlier step is not done
+        Waiting,
+        Sent, // started, or on its way
+        Stopping, // as Sent, and a stop was sent
+        Unproven, // its agent is out of contact
+        Done,
+        Dropped, // its job has its answer
+    };
+
+    struct Task
+    {
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+        std::uint32_t run = 0;
+        std::uint32_t failures = 0;
+        TaskPhase phase = TaskPhase::Blocked;
+        NodeId agent;
+        LinkId link = 0;
+        Instant sentAt;
+        Instant provenAt; // while Unproven
+        Duration expected{ 0 };
+        std::vector<NodeId> excluded;
+        std::string checkpoint;
+    };
+
+    struct Job
+    {
+        DirectJob job;
+        RouteRule route;
+        std::vector<RequestId> requests;
+        Instant arrived;
+        Instant objective;
+        Instant deadline;
+        Duration chain{ 0 }; // longest chain of expected run times
+        std::vector<Task> tasks;
+        std::vector<std::size_t> firstOfStep;
+        std::size_t waiting = 0;
+        std::size_t active = 0; // Sent, Stopping or Unproven
+        std::size_t done = 0;
+        bool hasStarted = false;
+        bool isClosed = false; // answered or given up
+        double work = 0; // thousandths of a processor times microseconds, of the tasks that wait
+        Instant sortKey;
+    };
+
+    using JobPointer = std::shared_ptr<Job>;
+
+    JobPointer admit(const RouteRule &route, const DirectJob &job, Duration patience, Instant now);
+    [[nodiscard]] std::optional<DirectAnswer> refusalOf(const RouteRule &route, const DirectJob &job) const;
+    Task *findTask(const DirectTaskId &id, JobPointer &job);
+    void taskEnded(NodeId agent, const TaskEnded &end, Instant now, EntryActions &actions);
+    void startRefused(NodeId agent, const StartRefused &refusal, Instant now, EntryActions &actions);
+    void requeue(Job &job, Task &task);
+    void completeTask(const JobPointer &job, Task &task, Instant now, EntryActions &actions);
+    void unblock(Job &job);
+    void answer(const JobPointer &job, const DirectAnswer &answer, Instant now, EntryActions &actions);
+    void closeJob(const JobPointer &job, Instant now, EntryActions &actions);
+    void eraseIfOver(const JobPointer &job);
+    void agentLost(NodeId agent, Instant lastEcho, EntryActions &actions);
+    void agentCleared(NodeId agent);
+    void pump(Instant now, EntryActions &actions);
+    std::vector<JobPointer> queue(Instant now);
+    bool placeTasks(const JobPointer &job, Instant now);
+    void flushStarts(EntryActions &actions);
+    void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
+    void reviewRuns(Instant now, EntryActions &actions);
+    void expire(Instant now, EntryActions &actions);
+    [[nodiscard]] PlacementWish wishOf(const Job &job, const Task &task) const;
+    [[nodiscard]] double workRate(const std::string &service, Instant now) const;
+    [[nodiscard]] DirectAnswer timeIsOver(const Job &job, Instant now) const;
+    void rememberAnswer(const std::string &job, const DirectAnswer &answer, Instant now);
+    void note(EntryActions &actions, std::string event, std::string subject, std::string detail, bool isWarning = false) const;
+
+    struct KeptAnswer
+    {
+        std::string job;
+        DirectAnswer answer;
+        Instant until;
+    };
+
+    struct PendingStart
+    {
+        LinkId link = 0;
+        StartTasks start;
+    };
+
+    Options m_options;
+    RouteTable m_routes;
+    AgentBoard m_board;
+    RunTimeEstimator m_estimator;
+    std::map<std::string, JobPointer> m_jobs;
+    std::map<RequestId, JobPointer> m_byRequest;
+    std::deque<KeptAnswer> m_answers;
+    std::map<LinkId, Instant> m_strangers; // links that have not greeted, and when they opened
+    std::vector<PendingStart> m_pendingStarts;
+    std::size_t m_peers = 0;
+    bool m_needsPump = false;
+    Instant m_nextReview;
+    double m_doneWork = 0; // of ended runs, smoothed, per microsecond
+    Instant m_doneAt;
+};
+
+} // namespace lagoonroute
--- /dev/null
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <lagoonroute/direct/upstreamevents.h>
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lagoonroute
+{
+
+/**
+ * Decides for the agent beside one upstream: which starts fit, which runs go on, and when a run is proved to be over.
+ *
+ * Every run belongs to the link on which its start came, and ends with it. The upstream is told a lease end with each
+ * order, so that what the agent no longer watches ends by itself.
+ */
+class UpstreamCore
+{
+public:
+    /** Identity and times. */
+    struct Options
+    {
+        std::string node;
+        std::string zone;
+        Incarnation incarnation = 1;
+        Duration lease = std::chrono::milliseconds(800); /**< Of everything that runs; below the upstream's own bound of 1 s. */
+        Duration linkSilence = std::chrono::milliseconds(700); /**< Without an echo, after which an entry's runs are stopped. */
+        Duration beatInterval = std::chrono::milliseconds(200); /**< A link survives two lost beats. */
+        Duration lookWait = std::chrono::milliseconds(1000); /**< Of a look that waits for an end. */
+        Duration orderTimeout = std::chrono::milliseconds(200); /**< For the answer to a start or stop on the same host. */
+        Duration roomInterval = std::chrono::milliseconds(4); /**< Least time between two statements of free room on a link. */
+        Duration offerLifetime = std::chrono::milliseconds(5000); /**< Of a report; three reports may be lost. */
+
+        Options withNode(std::string name, std::string availabilityZone, Incarnation life) const;
+        Options withLease(Duration term) const;
+        Options withOfferLifetime(Duration time) const;
+    };
+
+    explicit UpstreamCore(Options options);
+
+    /** The upstream reported itself. Reports of an earlier life, or older than the newest, change nothing. */
+    void handle(const UpstreamReport &report, Instant now, UpstreamActions &actions);
+    void handle(const UpstreamLeft &left, Instant now, UpstreamActions &actions);
+    void handle(const StartAnswered &answer, Instant now, UpstreamActions &actions);
+    void handle(const StopAnswered &answer, Instant now, UpstreamActions &actions);
+    void handle(const LookAnswered &answer, Instant now, UpstreamActions &actions);
+
+    /** A link to an entry is open. */
+    void openLink(LinkId link, Instant now, UpstreamActions &actions);
+
+    /** A link is closed: what was started on it is stopped. */
+    void closeLink(LinkId link, Instant now, UpstreamActions &actions);
+
+    /** A message came on a link. */
+    void receive(LinkId link, const LinkMessage &message, Instant now, UpstreamActions &actions);
+
+    /** The process stood still for so long that nothing on its links counts any more. */
+    void stalled(Instant now, UpstreamActions &actions);
+
+    /** Begins the planned stop: no start is taken any more, what runs goes on. */
+    void beginStop(Instant now, UpstreamActions &actions);
+
+    /** Does what time asks for. */
+    void elapse(Instant now, UpstreamActions &actions);
+
+    /** Time of the next elapse() unless an event comes first. */
+    [[nodiscard]] std::optional<Instant> nextWake() const;
+
+    /** Number of runs that are not proved to be over. */
+    [[nodiscard]] std::size_t runs() const noexcept
+    {
+        return m_runs.size();
+    }
+
+    /** Whether starts are taken. */
+    [[nodiscard]] bool isOpen() const;
+
+    /** Room that no run takes. */
+    [[nodiscard]] Resources freeRoom() const;
+
+    /** Number of links that have said who they are. */
+    [[nodiscard]] std::size_t entries() const;
+
+private:
+    enum class Phase : std::uint8_t {
+        Unknown, // no upstream is known, or it is gone
+        Fencing, // raising the token until the upstream takes it
+        Clearing, // stopping what an earlier life of the agent has left
+        Serving,
+    };
+
+    enum class RunPhase : std::uint8_t {
+        Starting,
+        Doubtful, // the start had no answer
+        Running,
+        Stopping, // a stop is under way; it may still be running
+        Confirmed, // the upstream has taken the stop; its end, or a list without it, is awaited
+    };
+
+    struct Run
+    {
+        LinkId link = 0;
+        std::string entry;
+        std::uint32_t run = 0;
+        RunPhase phase = RunPhase::Starting;
+        Resources need;
+        bool neverConfirmed = true; // the upstream has not said that it started
+        bool stopRequested = false;
+        std::uint64_t phaseLook = 0; // looks with a higher number were sent after the phase began
+        Instant changed; // when the phase began
+        Instant retryStopAt;
+    };
+
+    struct Link
+    {
+        std::string entry; // empty until it has said who it is
+        std::string address;
+        bool greeted = false;
+        std::uint64_t startsHandled = 0;
+        Instant contactUntil; // starts are taken until then
+        Instant lastBeat;
+        bool roomChanged = false;
+        Instant roomSaidAt;
+        std::uint64_t documentVersion = 0;
+    };
+
+    void startRun(LinkId linkId, Link &link, const StartTasks &order, const TaskStart &task, Instant now, UpstreamActions &actions);
+    std::optional<StartRefusal> refusalOf(const DirectTaskId &task, const Resources &need, const Link &link, Instant now) const;
+    void refuse(LinkId link, const DirectTaskId &task, std::uint32_t run, StartRefusal reason, UpstreamActions &actions);
+    void requestStop(const DirectTaskId &task, Run &run, Instant now, UpstreamActions &actions);
+    void finish(std::map<DirectTaskId, Run>::iterator run, RunEnd end, const std::string &checkpoint, UpstreamActions &actions);
+    void finishUnstarted(std::map<DirectTaskId, Run>::iterator run, StartRefusal reason, UpstreamActions &actions);
+    void loseAllRuns(UpstreamActions &actions);
+    void loseUpstream(const std::string &reason, UpstreamActions &actions);
+    void beginFencing(Instant now, UpstreamActions &actions);
+    void takeEnds(const LookAnswered &answer, UpstreamActions &actions);
+    void takeRunning(const LookAnswered &answer, Instant now, UpstreamActions &actions);
+    void look(Instant now, Duration wait, UpstreamActions &actions);
+    void keepLease(Instant now, UpstreamActions &actions);
+    void greet(Instant now, UpstreamActions &actions);
+    void sayOffer(UpstreamActions &actions);
+    void sayRoom(Instant now, UpstreamActions &actions);
+    void roomHasChanged();
+    void spreadDocument(UpstreamActions &actions);
+    void dropLink(LinkId link, const std::string &reason, Instant now, UpstreamActions &actions);
+    void recheckRuns(Instant now, UpstreamActions &actions);
+    void adopt(const UpstreamReport &report, Instant now, UpstreamActions &actions);
+    void meetLife(std::int64_t born, Instant now, UpstreamActions &actions);
+    void lookSoon(Instant now, Duration delay);
+    [[nodiscard]] bool looksWait() const;
+    [[nodiscard]] bool mayGreet(const Link &link, LinkId linkId, Instant now) const;
+    [[nodiscard]] std::optional<std::int64_t> leaseEndAt(Instant now) const;
+    [[nodiscard]] OrderHeader header() const;
+    [[nodiscard]] AgentOffer offer() const;
+    void note(UpstreamActions &actions, std::string event, std::string subject, std::string detail, bool isWarning = false) const;
+
+    Options m_options;
+    Phase m_phase = Phase::Unknown;
+    bool m_isStopping = false;
+    UpstreamReport m_report;
+    bool m_hasReport = false;
+    Instant m_reportedAt;
+    std::uint64_t m_token = 1;
+    std::optional<std::int64_t> m_clock; // of the upstream, at m_clockAt
+    Instant m_clockAt;
+    std::int64_t m_born = 0; // life that the lists come from
+    std::uint64_t m_lastSeenEnd = 0;
+    std::uint64_t m_lastLook = 0;
+    std::uint64_t m_waitingLook = 0; // the look under way that waits, or 0
+    std::uint64_t m_renewingLook = 0; // the look under way that renews at once, or 0
+    Instant m_nextLookAt;
+    std::optional<Instant> m_extraLookAt; // a look that does not wait is due then
+    Instant m_leaseUntil; // latest end of the upstream's lease, by this process's clock
+    std::uint32_t m_failedLooks = 0; // in a row
+    std::optional<Instant> m_startedAt; // first elapse() of this process
+    std::optional<UpstreamReport> m_otherLife; // reported, and not yet seen in a list
+    std::uint32_t m_strays = 0; // runs in the last list that nobody here started
+    std::map<DirectTaskId, Run> m_runs;
+    std::map<LinkId, Link> m_links;
+    Resources m_used;
+    AgentOffer m_saidOffer;
+    OfferDocument m_document;
+};
+
+} // namespace lagoonroute
--- a/include/lagoonroute/http/httpclient.h
+++ b/include/lagoonroute/http/httpclient.h
@@ -9,6 +9,11 @@
 #include <memory>
 #include <optional>
 
+namespace boost::asio
+{
+class io_context;
+}
+
 namespace lagoonroute
 {
 
@@ -24,10 +29,11 @@
 {
     std::optional<HttpResponse> response;
     HttpFailure failure = HttpFailure::NotSent;
+    bool isRefused = false; /**< Not sent, because no process listens at the address. */
 };
 
 /**
- * HTTP/1.1 client on a thread of its own that keeps idle connections for reuse.
+ * HTTP/1.1 client, on a thread of its own or on a given event loop, that keeps idle connections for reuse.
  *
  * It never repeats a request by itself.
  */
@@ -38,6 +44,9 @@
     using Callback = std::function<void(HttpResult)>;
 
     HttpClient();
+
+    /** Creates a client on an event loop that the caller runs on one thread; call() is for that thread only. */
+    explicit HttpClient(boost::asio::io_context &loop);
     ~HttpClient();
 
     HttpClient(const HttpClient &) = delete;
--- a/include/lagoonroute/http/httpserver.h
+++ b/include/lagoonroute/http/httpserver.h
@@ -8,6 +8,11 @@
 #include <functional>
 #include <memory>
 
+namespace boost::asio
+{
+class io_context;
+}
+
 namespace lagoonroute
 {
 
@@ -27,7 +32,7 @@
     virtual void watchForClose(std::function<void()> onClosed) = 0;
 };
 
-/** HTTP/1.1 server on a thread of its own, with bounded connections, headers, bodies and waits. */
+/** HTTP/1.1 server on a thread of its own or on a given event loop, with bounded connections, headers, bodies and waits. */
 class HttpServer
 {
 public:
@@ -50,6 +55,9 @@
 
     /** Opens the listener and starts the thread. Throws NetworkError when the address is taken. */
     HttpServer(const Options &options, Handler handler);
+
+    /** Opens the listener on an event loop that the caller runs on one thread; there is no thread of its own. */
+    HttpServer(boost::asio::io_context &loop, const Options &options, Handler handler);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
--- a/include/lagoonroute/observation/log.h
+++ b/include/lagoonroute/observation/log.h
@@ -29,8 +29,18 @@
     static LogField json(std::string_view fieldName, std::string text);
 };
 
-/** Sets up the process-wide log: one JSON object a line on standard error, from the given level on. */
-void startLogging(const std::string &node, LogLevel level);
+/** Where the log goes. */
+enum class LogTarget : std::uint8_t {
+    StandardError,
+    StandardOutput,
+};
+
+/**
+ * Sets up the process-wide log: one JSON object a line, from the given level on.
+ *
+ * At most 400 lines a second are written; a line tells how many were left out.
+ */
+void startLogging(const std::string &node, LogLevel level, LogTarget target = LogTarget::StandardError);
 
 /** Tells whether lines of this level are written. */
 bool isLogged(LogLevel level);
--- a/include/lagoonroute/platform/storeclientcore.h
+++ b/include/lagoonroute/platform/storeclientcore.h
@@ -52,6 +52,7 @@
         Options withReads(double perSecond, double burst) const;
         Options withWrites(double perSecond, double burst) const;
         Options withTimeout(Duration answerTimeout) const;
+        Options withBackoff(Duration first, Duration longest) const;
         Options withSeed(std::uint64_t value) const;
     };
 
--- a/include/lagoonroute/platform/storeport.h
+++ b/include/lagoonroute/platform/storeport.h
@@ -95,6 +95,7 @@
     StoreStatus status = StoreStatus::Unknown;
     StoreEntry entry;
     StorePurpose purpose = StorePurpose::View; /**< As in the call; set by StoreClient. */
+    StoreVersion asOf = 0; /**< Version of the whole store that the answer reflects, from which a watch may go on; 0 if not told. */
 };
 
 /**
--- a/include/lagoonroute/transport/transport.h
+++ b/include/lagoonroute/transport/transport.h
@@ -7,5 +7,7 @@
  */
 
 #include <lagoonroute/transport/gossiptransport.h>
+#include <lagoonroute/transport/linkcodec.h>
+#include <lagoonroute/transport/linkendpoint.h>
 #include <lagoonroute/transport/messagecodec.h>
 #include <lagoonroute/transport/peertransport.h>
--- a/modules/app/addresstext.cpp
+++ b/modules/app/addresstext.cpp
@@ -1,4 +1,4 @@
-#include "addresstext.h"
+#include <lagoonroute/app/addresstext.h>
 
 #include <lagoonroute/base/errors.h>
 
--- a/modules/app/commandline.cpp
+++ b/modules/app/commandline.cpp
@@ -1,6 +1,5 @@
 #include <lagoonroute/app/commandline.h>
 
-#include "addresstext.h"
 #include "configcommand.h"
 #include "httprevisionreader.h"
 #include "noderunner.h"
@@ -8,6 +7,7 @@
 #include "stopsignal.h"
 #include "submitcommand.h"
 #include "waitingstore.h"
+#include <lagoonroute/app/addresstext.h>
 
 #include <lagoonroute/app/agentnode.h>
 #include <lagoonroute/app/entrynode.h>
@@ -34,18 +34,11 @@
 {
 
 constexpr int exitUsage = 2;
+constexpr std::size_t nameColumn = 14; // the longest name and two spaces
 constexpr Duration storeTimeout = std::chrono::seconds(5);
 
-/** A command of the program: what the user types, what it does, and the function that does it. */
-struct Command
-{
-    std::string name;
-    std::string summary;
-    std::function<int(const std::vector<std::string> &arguments)> run; /**< The arguments begin with the command's name. */
-};
-
 template <typename Node>
-int runNode(const std::vector<std::string> & /*arguments*/)
+int runNode(const CommandInput & /*input*/)
 {
     const Settings settings = Settings::fromFile(FLAGS_settings);
     startLogging(settings.node, settings.logLevel);
@@ -54,7 +47,7 @@
     return runUntilStopped(node, ProcessLifecycle::Options().withWithdrawTime(settings.withdrawTime).withDrainLimit(settings.drainLimit));
 }
 
-int runSoloCommand(const std::vector<std::string> & /*arguments*/)
+int runSoloCommand(const CommandInput & /*input*/)
 {
     const Settings settings = Settings::fromFile(FLAGS_settings);
     startLogging(settings.node, settings.logLevel);
@@ -63,53 +56,54 @@
     return 0;
 }
 
-int runConfig(const std::vector<std::string> &arguments)
+int runConfig(const CommandInput &input)
 {
     WakeSignal signal;
     HttpStore port(HttpStore::Options().withServer(addressFromText(FLAGS_store)), signal);
     WaitingStore store(port, signal, storeTimeout);
     HttpRevisionReader reader;
-    const ConfigOptions options = ConfigOptions::fromFlags({ arguments.begin() + 1, arguments.end() });
+    const ConfigOptions options = ConfigOptions::fromFlags({ input.arguments.begin() + 1, input.arguments.end() });
     return static_cast<int>(runConfigCommand(options, ConfigPorts::of(store, reader, std::cout, std::cerr)));
 }
 
-const std::vector<Command> &commands()
+std::vector<Command> productCommands()
 {
-    static const std::vector<Command> all{
+    return {
         { "entry", "serve callers (--settings)", runNode<EntryNode> },
         { "agent", "serve the upstream on this host (--settings)", runNode<AgentNode> },
         { "solo", "run an entry, agents and sample upstreams in one process (--settings, --agents)", runSoloCommand },
         { "submit",
           "submit a job and print its outcome (--service, --job, --entries, --key, --caller)",
-          [](const std::vector<std::string> &) { return runSubmitCommand(); } },
+          [](const CommandInput &) { return runSubmitCommand(); } },
         { "config", "check, compare, submit or look up the configuration (--store; \"lagoonroute config\" lists the commands)", runConfig },
     };
-    return all;
 }
 
-std::string usage()
+std::string usage(const std::vector<Command> &commands)
 {
     std::string text = "lagoonroute COMMAND [flags]\n\nCommands:\n";
-    for (const Command &command : commands()) {
-        text += "  " + command.name + std::string(8 - command.name.size(), ' ') + command.summary + "\n";
+    for (const Command &command : commands) {
+        text += "  " + command.name + std::string(nameColumn - command.name.size(), ' ') + command.summary + "\n";
     }
     return text;
 }
 
 } // namespace
 
-int runCommandLine(int argc, char **argv)
+int runCommandLine(int argc, char **argv, const std::vector<Command> &furtherCommands)
 {
-    gflags::SetUsageMessage(usage());
+    std::vector<Command> commands = productCommands();
+    commands.insert(commands.end(), furtherCommands.begin(), furtherCommands.end());
+    gflags::SetUsageMessage(usage(commands));
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto command = std::find_if(commands().begin(), commands().end(), [&](const Command &known) { return argc >= 2 && known.name == argv[1]; });
-    if (command == commands().end()) {
-        std::cerr << usage();
+    const auto command = std::find_if(commands.begin(), commands.end(), [&](const Command &known) { return argc >= 2 && known.name == argv[1]; });
+    if (command == commands.end()) {
+        std::cerr << usage(commands);
         return exitUsage;
     }
     try {
-        return command->run({ argv + 1, argv + argc });
+        return command->run(CommandInput{ { argv + 1, argv + argc }, FLAGS_settings });
     } catch (const Error &error) {
         std::cerr << "lagoonroute: " << error.what() << "\n";
         return 1;
--- a/modules/app/configstatus.cpp
+++ b/modules/app/configstatus.cpp
@@ -1,6 +1,6 @@
 #include "configstatus.h"
 
-#include "addresstext.h"
+#include <lagoonroute/app/addresstext.h>
 
 #include <boost/json.hpp>
 
--- /dev/null
+++ b/modules/app/directsettings.cpp
@@ -0,0 +1,77 @@
+#include <lagoonroute/app/directsettings.h>
+
+#include "filetext.h"
+#include "settingsfields.h"
+
+#include <lagoonroute/base/errors.h>
+
+#include <type_traits>
+
+namespace lagoonroute
+{
+
+template <>
+struct FieldsOf<ContactSetting>
+{
+    template <typename Value, typename Visitor>
+    static void visit(Value &contact, Visitor &visitor)
+    {
+        visitor.text("address", contact.address, TextForm::Address);
+    }
+};
+
+template <>
+struct FieldsOf<DirectSettings>
+{
+    template <typename Value, typename Visitor>
+    static void visit(Value &settings, Visitor &visitor)
+    {
+        using namespace std::chrono_literals;
+        constexpr std::size_t maxContacts = 64;
+        visitor.text("node", settings.node, TextForm::Name);
+        visitor.text("zone", settings.zone, TextForm::Name);
+        address("callers", settings.callers, visitor);
+        address("ready", settings.ready, visitor);
+        address("link", settings.link, visitor);
+        address("announce", settings.announce, visitor);
+        address("upstream", settings.upstream, visitor);
+        address("metrics", settings.metrics, visitor);
+        visitor.text("store", settings.store, TextForm::Address);
+        visitor.list("contacts", settings.contacts, maxContacts);
+        visitor.choice("logLevel", settings.logLevel, logLevelNames);
+        visitor.duration("offerLifetimeMs", settings.offerLifetime, { 100ms, 60s });
+        visitor.duration("withdrawMs", settings.withdrawTime, { 0ms, 60s });
+        visitor.duration("drainLimitMs", settings.drainLimit, { 0ms, 1h });
+    }
+
+private:
+    /** An address that one of the two roles does without. */
+    template <typename Value, typename Visitor>
+    static void address(std::string_view name, Value &text, Visitor &visitor)
+    {
+        if (!text.empty() || std::is_same_v<Visitor, FieldReader>) {
+            visitor.text(name, text, TextForm::Address);
+        }
+    }
+};
+
+DirectSettings DirectSettings::fromFile(const std::string &path)
+{
+    return fromText(readFile(path), path);
+}
+
+DirectSettings DirectSettings::fromText(const std::string &text, const std::string &source)
+{
+    return settingsFromText<DirectSettings>(text, source);
+}
+
+std::vector<std::string> DirectSettings::contactAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const ContactSetting &contact : contacts) {
+        addresses.push_back(contact.address);
+    }
+    return addresses;
+}
+
+} // namespace lagoonroute
--- a/modules/app/settings.cpp
+++ b/modules/app/settings.cpp
@@ -3,8 +3,6 @@
 #include "filetext.h"
 #include "settingsfields.h"
 
-#include <lagoonroute/base/errors.h>
-
 namespace lagoonroute
 {
 
@@ -20,15 +18,7 @@
 
 Settings Settings::fromText(const std::string &text, const std::string &source)
 {
-    ReadDocument<Settings> document = readDocument<Settings>(text);
-    if (document.faults.empty()) {
-        return std::move(document.value);
-    }
-    std::string message;
-    for (const CheckFault &fault : document.faults) {
-        message += (message.empty() ? "" : "\n") + source + ": " + fault.toString();
-    }
-    throw InvalidDocument(message);
+    return settingsFromText<Settings>(text, source);
 }
 
 } // namespace lagoonroute
--- a/modules/app/settingsfields.h
+++ b/modules/app/settingsfields.h
@@ -4,6 +4,10 @@
 #include "documentreader.h"
 
 #include <lagoonroute/app/settings.h>
+#include <lagoonroute/base/errors.h>
+
+#include <string>
+#include <utility>
 
 namespace lagoonroute
 {
@@ -70,4 +74,19 @@
     }
 };
 
+/** Returns the settings in the text. Throws InvalidDocument with a line for each fault; `source` names the text there. */
+template <typename T>
+T settingsFromText(const std::string &text, const std::string &source)
+{
+    ReadDocument<T> document = readDocument<T>(text);
+    if (document.faults.empty()) {
+        return std::move(document.value);
+    }
+    std::string message;
+    for (const CheckFault &fault : document.faults) {
+        message += (message.empty() ? "" : "\n") + source + ": " + fault.toString();
+    }
+    throw InvalidDocument(message);
+}
+
 } // namespace lagoonroute
--- a/modules/app/submitcommand.cpp
+++ b/modules/app/submitcommand.cpp
@@ -1,7 +1,7 @@
 #include "submitcommand.h"
 
-#include "addresstext.h"
 #include "filetext.h"
+#include <lagoonroute/app/addresstext.h>
 
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/client/jobclient.h>
--- a/modules/base/time.cpp
+++ b/modules/base/time.cpp
@@ -1,5 +1,7 @@
 #include <lagoonroute/base/time.h>
 
+#include <ctime>
+
 namespace lagoonroute
 {
 
@@ -9,4 +11,11 @@
     return Instant(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+Instant MonotonicClock::nowWithSuspension() noexcept
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 } // namespace lagoonroute
--- a/modules/configuration/fieldkinds.cpp
+++ b/modules/configuration/fieldkinds.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <string>
 
 namespace lagoonroute
@@ -38,6 +39,18 @@
     return !error;
 }
 
+bool isAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || !isIpNumber(text.substr(0, colon))) {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const char *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
+}
+
 } // namespace
 
 std::string NumberRange::toString() const
@@ -61,6 +74,8 @@
         return !text.empty() && text.front() == '/' && allOf(text, maxPathLength, isPrintable);
     case TextForm::IpNumber:
         return isIpNumber(text);
+    case TextForm::Address:
+        return isAddress(text);
     case TextForm::KeyName:
         return allOf(text, maxPathLength, isPrintable);
     }
@@ -78,6 +93,8 @@
         return "1 to 256 printable ASCII characters without spaces, the first of them /";
     case TextForm::IpNumber:
         return "an IP number such as 127.0.0.1";
+    case TextForm::Address:
+        return "an IP number and a port such as 127.0.0.1:7500";
     case TextForm::KeyName:
         return "at most 256 printable ASCII characters without spaces";
     }
--- a/modules/configuration/fieldkinds.h
+++ b/modules/configuration/fieldkinds.h
@@ -37,6 +37,7 @@
     Caller, /**< 1 to 128 printable ASCII characters. */
     Path, /**< 1 to 256 printable ASCII characters, the first of them "/". */
     IpNumber, /**< IP number, version 4 or 6. */
+    Address, /**< IP number, version 4, a colon and a port. */
     KeyName, /**< A header's name, a JSON pointer, or nothing. */
 };
 
--- /dev/null
+++ b/modules/direct/agentboard.cpp
@@ -0,0 +1,244 @@
+#include <lagoonroute/direct/agentboard.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+/** Weight of one run in the smoothed slowness of an agent. */
+constexpr double slownessGain = 0.1;
+/** Bounds of the smoothed slowness: beyond them a run says more about its task than about the upstream. */
+constexpr double leastSlowness = 0.25;
+constexpr double mostSlowness = 8;
+/** Share of the expected run time by which an agent in the own zone may be slower and still go first. */
+constexpr double zonePreference = 0.03;
+
+bool hasLabel(const std::vector<std::string> &labels, const std::string &label)
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool matches(const AgentOffer &offer, const PlacementWish &wish)
+{
+    return offer.service == wish.service && (wish.requiredLabel.empty() || hasLabel(offer.labels, wish.requiredLabel));
+}
+
+} // namespace
+
+AgentBoard::Options AgentBoard::Options::withZone(std::string name) const
+{
+    Options changed = *this;
+    changed.zone = std::move(name);
+    return changed;
+}
+
+AgentBoard::AgentBoard(Options options)
+    : m_options(std::move(options))
+    , m_health(m_options.ejection, m_options.straggler)
+{
+}
+
+NodeId AgentBoard::greet(LinkId link, const AgentHello &hello, Instant now)
+{
+    const NodeId node = NodeId::fromName(hello.node);
+    Agent &agent = m_agents[node];
+    if (agent.link != 0) {
+        m_byLink.erase(agent.link);
+    }
+    agent.name = hello.node;
+    agent.zone = hello.zone;
+    agent.incarnation = hello.incarnation;
+    agent.link = link;
+    agent.offer = AgentOffer{};
+    agent.free = Resources{};
+    agent.startsSent = 0;
+    agent.startsHandled = 0;
+    agent.unhandled.clear();
+    agent.lastBeat = now;
+    m_byLink[link] = node;
+    m_health.add(node, 1);
+    return node;
+}
+
+std::optional<NodeId> AgentBoard::closeLink(LinkId link)
+{
+    const auto found = m_byLink.find(link);
+    if (found == m_byLink.end()) {
+        return std::nullopt;
+    }
+    const NodeId node = found->second;
+    m_byLink.erase(found);
+    Agent &agent = m_agents[node];
+    agent.link = 0;
+    agent.offer.isOpen = false;
+    agent.free = Resources{};
+    return node;
+}
+
+AgentBoard::Agent *AgentBoard::byLink(LinkId link)
+{
+    const auto found = m_byLink.find(link);
+    return found == m_byLink.end() ? nullptr : &m_agents[found->second];
+}
+
+const AgentBoard::Agent *AgentBoard::find(NodeId node) const
+{
+    const auto found = m_agents.find(node);
+    return found == m_agents.end() ? nullptr : &found->second;
+}
+
+void AgentBoard::setOffer(LinkId link, const AgentOffer &offer)
+{
+    if (Agent *agent = byLink(link)) {
+        agent->offer = offer;
+    }
+}
+
+void AgentBoard::setRoom(LinkId link, const AgentRoom &room)
+{
+    Agent *agent = byLink(link);
+    if (agent == nullptr) {
+        return;
+    }
+    agent->free = room.free;
+    while (agent->startsHandled < room.startsHandled && !agent->unhandled.empty()) {
+        agent->unhandled.pop_front();
+        ++agent->startsHandled;
+    }
+}
+
+void AgentBoard::beat(LinkId link, Instant now)
+{
+    if (Agent *agent = byLink(link)) {
+        agent->lastBeat = now;
+    }
+}
+
+void AgentBoard::forget(NodeId node)
+{
+    const auto found = m_agents.find(node);
+    if (found == m_agents.end() || found->second.link != 0) {
+        return;
+    }
+    m_health.forget(node);
+    m_agents.erase(found);
+}
+
+Resources AgentBoard::room(const Agent &agent)
+{
+    Resources free = agent.free;
+    for (const Resources &need : agent.unhandled) {
+        free = free - need;
+    }
+    return free;
+}
+
+bool AgentBoard::isUsable(const Agent &agent, Instant now) const
+{
+    return agent.link != 0 && agent.offer.isOpen && now - agent.lastBeat <= m_options.suspectAfter;
+}
+
+std::optional<NodeId> AgentBoard::choose(const PlacementWish &wish, Instant now) const
+{
+    std::optional<NodeId> best;
+    double bestCost = 0;
+    for (const auto &[node, agent] : m_agents) {
+        if (!isUsable(agent, now) || !matches(agent.offer, wish)) {
+            continue;
+        }
+        const Resources free = room(agent);
+        if (!wish.need.fitsInto(free) || std::find(wish.excluded.begin(), wish.excluded.end(), node) != wish.excluded.end()) {
+            continue;
+        }
+        const WorkerHealth::Standing standing = m_health.standing(node, now);
+        const bool isBusy = !agent.unhandled.empty() || free < agent.offer.capacity;
+        if (standing.allowance == 0 || (standing.allowance == 1 && isBusy)) {
+            continue;
+        }
+        double cost = agent.slowness * standing.slowdown;
+        if (!wish.preferredLabel.empty() && !hasLabel(agent.offer.labels, wish.preferredLabel)) {
+            cost *= m_options.farFactor;
+        }
+        if (agent.zone != m_options.zone) {
+            cost *= 1 + zonePreference;
+        }
+        // Among agents of like speed the emptier one goes first: other entries are less likely to fill it meanwhile.
+        const double emptiness = static_cast<double>(free.cpuMillis) / std::max(1U, agent.offer.capacity.cpuMillis);
+        cost *= 1 - (emptiness / 4);
+        if (!best || cost < bestCost) {
+            best = node;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void AgentBoard::startSent(NodeId node, const Resources &need)
+{
+    Agent &agent = m_agents[node];
+    ++agent.startsSent;
+    agent.unhandled.push_back(need);
+}
+
+void AgentBoard::roomRefused(NodeId node)
+{
+    const auto found = m_agents.find(node);
+    if (found != m_agents.end()) {
+        found->second.free = Resources{};
+    }
+}
+
+void AgentBoard::learn(NodeId node, AttemptResult result, Duration runTime, Duration expected, Instant now)
+{
+    const auto found = m_agents.find(node);
+    if (found == m_agents.end()) {
+        return;
+    }
+    m_health.record(node, result, runTime, expected, now);
+    if (result != AttemptResult::Succeeded || expected <= Duration(0)) {
+        return;
+    }
+    const double ratio = static_cast<double>(runTime.count()) / static_cast<double>(expected.count());
+    double &slowness = found->second.slowness;
+    slowness = std::clamp(slowness + (slownessGain * (std::min(ratio, mostSlowness) - slowness)), leastSlowness, mostSlowness);
+}
+
+void AgentBoard::setStalled(NodeId node, bool stalled)
+{
+    m_health.setStalled(node, stalled);
+}
+
+bool AgentBoard::couldFit(const PlacementWish &wish) const
+{
+    return std::any_of(
+        m_agents.begin(), m_agents.end(), [&](const auto &item) { return matches(item.second.offer, wish) && wish.need.fitsInto(item.second.offer.capacity); });
+}
+
+std::uint64_t AgentBoard::openCapacity(const std::string &service) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[node, agent] : m_agents) {
+        if (agent.offer.isOpen && agent.offer.service == service) {
+            sum += agent.offer.capacity.cpuMillis;
+        }
+    }
+    return sum;
+}
+
+std::size_t AgentBoard::openAgents() const
+{
+    return static_cast<std::size_t>(std::count_if(m_agents.begin(), m_agents.end(), [](const auto &item) { return item.second.offer.isOpen; }));
+}
+
+double AgentBoard::slowness(NodeId node) const
+{
+    const Agent *agent = find(node);
+    return agent == nullptr ? 1 : agent->slowness;
+}
+
+} // namespace lagoonroute
--- a/modules/http/httpclient.cpp
+++ b/modules/http/httpclient.cpp
@@ -117,7 +117,7 @@
         m_stream->expires_at(m_deadline);
         m_stream->async_connect(boost::asio::ip::tcp::endpoint(ip, m_server.port), [self = shared_from_this()](beast::error_code connectError) {
             if (connectError) {
-                self->fail(HttpFailure::NotSent);
+                self->fail(HttpFailure::NotSent, connectError == boost::asio::error::connection_refused);
                 return;
             }
             beast::error_code ignored;
@@ -166,10 +166,10 @@
         m_callback(HttpResult{ .response = std::move(response) });
     }
 
-    void fail(HttpFailure failure)
+    void fail(HttpFailure failure, bool isRefused = false)
     {
         m_stream.reset();
-        m_callback(HttpResult{ .response = std::nullopt, .failure = failure });
+        m_callback(HttpResult{ .response = std::nullopt, .failure = failure, .isRefused = isRefused });
     }
 
     boost::asio::io_context &m_loop;
@@ -189,13 +189,22 @@
 {
 public:
     Implementation()
+        : m_ownLoop(std::make_unique<EventLoop>())
+        , m_loop(m_ownLoop->context())
+    {
+        m_ownLoop->start();
+    }
+
+    explicit Implementation(boost::asio::io_context &loop)
+        : m_loop(loop)
     {
-        m_loop.start();
     }
 
     ~Implementation()
     {
-        m_loop.stop();
+        if (m_ownLoop) {
+            m_ownLoop->stop();
+        }
     }
 
     Implementation(const Implementation &) = delete;
@@ -203,12 +212,17 @@
 
     void call(const NodeAddress &server, HttpRequest request, Duration timeout, Callback callback)
     {
-        auto newCall = std::make_shared<ClientCall>(m_loop.context(), m_pool, server, std::move(callback));
-        boost::asio::post(m_loop.context(), [newCall, request = std::move(request), timeout]() mutable { newCall->start(std::move(request), timeout); });
+        auto newCall = std::make_shared<ClientCall>(m_loop, m_pool, server, std::move(callback));
+        if (!m_ownLoop) {
+            newCall->start(std::move(request), timeout);
+            return;
+        }
+        boost::asio::post(m_loop, [newCall, request = std::move(request), timeout]() mutable { newCall->start(std::move(request), timeout); });
     }
 
 private:
-    EventLoop m_loop;
+    std::unique_ptr<EventLoop> m_ownLoop; // null on a loop of the caller's
+    boost::asio::io_context &m_loop;
     ConnectionPool m_pool;
 };
 
@@ -217,6 +231,11 @@
 {
 }
 
+HttpClient::HttpClient(boost::asio::io_context &loop)
+    : m_implementation(std::make_unique<Implementation>(loop))
+{
+}
+
 HttpClient::~HttpClient() = default;
 
 void HttpClient::call(const NodeAddress &server, HttpRequest request, Duration timeout, Callback callback)
--- a/modules/http/httpserver.cpp
+++ b/modules/http/httpserver.cpp
@@ -37,16 +37,30 @@
 {
 public:
     Implementation(const Options &options, Handler handler)
-        : m_options(options)
-        , m_handler(std::move(handler))
-        , m_listener(m_loop.context(), options.address, [this](boost::asio::ip::tcp::socket socket) { startSession(std::move(socket)); })
+        : m_state(std::make_shared<HttpServerState>())
+        , m_ownLoop(std::make_unique<EventLoop>())
+        , m_loop(m_ownLoop->context())
+        , m_listener(m_loop, options.address, [this](boost::asio::ip::tcp::socket socket) { startSession(std::move(socket)); })
     {
-        m_loop.start();
+        m_state->options = options;
+        m_state->handler = std::move(handler);
+        m_ownLoop->start();
+    }
+
+    Implementation(boost::asio::io_context &loop, const Options &options, Handler handler)
+        : m_state(std::make_shared<HttpServerState>())
+        , m_loop(loop)
+        , m_listener(m_loop, options.address, [this](boost::asio::ip::tcp::socket socket) { startSession(std::move(socket)); })
+    {
+        m_state->options = options;
+        m_state->handler = std::move(handler);
     }
 
     ~Implementation()
     {
-        m_loop.stop();
+        if (m_ownLoop) {
+            m_ownLoop->stop();
+        }
     }
 
     Implementation(const Implementation &) = delete;
@@ -59,31 +73,30 @@
 
     void post(std::function<void()> function)
     {
-        boost::asio::post(m_loop.context(), std::move(function));
+        boost::asio::post(m_loop, std::move(function));
     }
 
     void closeAfterResponses()
     {
-        m_state.closing = true;
+        m_state->closing = true;
     }
 
     [[nodiscard]] std::size_t busy() const noexcept
     {
-        return m_state.busy;
+        return m_state->busy;
     }
 
 private:
     void startSession(boost::asio::ip::tcp::socket socket)
     {
-        if (m_state.connections < m_options.maxConnections) {
-            std::make_shared<HttpSession>(std::move(socket), m_options, m_handler, m_state)->start();
+        if (m_state->connections < m_state->options.maxConnections) {
+            std::make_shared<HttpSession>(std::move(socket), m_state)->start();
         }
     }
 
-    Options m_options;
-    Handler m_handler;
-    HttpServerState m_state;
-    EventLoop m_loop;
+    std::shared_ptr<HttpServerState> m_state;
+    std::unique_ptr<EventLoop> m_ownLoop; // null on a loop of the caller's
+    boost::asio::io_context &m_loop;
     TcpListener m_listener;
 };
 
@@ -92,6 +105,11 @@
 {
 }
 
+HttpServer::HttpServer(boost::asio::io_context &loop, const Options &options, Handler handler)
+    : m_implementation(std::make_unique<Implementation>(loop, options, std::move(handler)))
+{
+}
+
 HttpServer::~HttpServer() = default;
 
 NodeAddress HttpServer::address() const
--- a/modules/http/httpsession.cpp
+++ b/modules/http/httpsession.cpp
@@ -55,19 +55,17 @@
     std::function<void()> m_onClosed;
 };
 
-HttpSession::HttpSession(boost::asio::ip::tcp::socket socket, const HttpServer::Options &options, const HttpServer::Handler &handler, HttpServerState &state)
+HttpSession::HttpSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpServerState> state)
     : m_stream(std::move(socket))
-    , m_options(options)
-    , m_handler(handler)
-    , m_state(state)
+    , m_state(std::move(state))
 {
-    ++m_state.connections;
+    ++m_state->connections;
 }
 
 HttpSession::~HttpSession()
 {
     finish();
-    --m_state.connections;
+    --m_state->connections;
 }
 
 void HttpSession::start()
@@ -80,14 +78,14 @@
 void HttpSession::readRequest()
 {
     m_parser.emplace();
-    m_parser->body_limit(m_options.maxBodyBytes);
-    m_stream.expires_after(m_options.idleTimeout);
+    m_parser->body_limit(m_state->options.maxBodyBytes);
+    m_stream.expires_after(m_state->options.idleTimeout);
     http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
         if (error) {
             self->refuse(error);
             return;
         }
-        self->m_stream.expires_after(self->m_options.requestTimeout);
+        self->m_stream.expires_after(self->m_state->options.requestTimeout);
         http::async_read(self->m_stream, self->m_buffer, *self->m_parser, [self](beast::error_code readError, std::size_t) {
             if (readError) {
                 self->refuse(readError);
@@ -111,10 +109,10 @@
     m_response.keep_alive(message.keep_alive());
     m_isAnswered = false;
     m_isBusy = true;
-    ++m_state.busy;
+    ++m_state->busy;
     const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request));
     m_exchange = exchange;
-    m_handler(exchange);
+    m_state->handler(exchange);
 }
 
 void HttpSession::refuse(beast::error_code error)
@@ -140,7 +138,7 @@
     if (std::exchange(m_isAnswered, true)) {
         return;
     }
-    if (m_state.closing) {
+    if (m_state->closing) {
         m_response.keep_alive(false);
     }
     m_response.result(response.status);
@@ -150,7 +148,7 @@
     }
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
-    m_stream.expires_after(m_options.requestTimeout);
+    m_stream.expires_after(m_state->options.requestTimeout);
     http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
         self->finish();
         if (error || !self->m_response.keep_alive()) {
@@ -184,7 +182,7 @@
 void HttpSession::finish()
 {
     if (std::exchange(m_isBusy, false)) {
-        --m_state.busy;
+        --m_state->busy;
     }
 }
 
--- a/modules/http/httpsession.h
+++ b/modules/http/httpsession.h
@@ -17,6 +17,8 @@
 /** What the connections of one server share. */
 struct HttpServerState
 {
+    HttpServer::Options options;
+    HttpServer::Handler handler;
     std::size_t connections = 0; /**< Open connections; touched on the server's thread only. */
     std::atomic<std::size_t> busy = 0; /**< Requests without a written response. */
     std::atomic<bool> closing = false; /**< Whether connections close after their next response. */
@@ -26,7 +28,7 @@
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
-    HttpSession(boost::asio::ip::tcp::socket socket, const HttpServer::Options &options, const HttpServer::Handler &handler, HttpServerState &state);
+    HttpSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpServerState> state);
     ~HttpSession();
 
     HttpSession(const HttpSession &) = delete;
@@ -47,9 +49,7 @@
     void close();
 
     boost::beast::tcp_stream m_stream;
-    const HttpServer::Options &m_options;
-    const HttpServer::Handler &m_handler;
-    HttpServerState &m_state;
+    std::shared_ptr<HttpServerState> m_state; // on a caller's loop a session may outlive the server
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
--- a/modules/observation/log.cpp
+++ b/modules/observation/log.cpp
@@ -1,9 +1,15 @@
 #include <lagoonroute/observation/log.h>
 
+#include <lagoonroute/base/time.h>
+
 #include <boost/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <limits>
+#include <memory>
+#include <mutex>
+
 namespace lagoonroute
 {
 
@@ -25,6 +31,27 @@
     return spdlog::level::off;
 }
 
+/** Lines a second that are written; a flood of them would take the processor time of the work itself. */
+constexpr std::uint64_t maxLinesPerSecond = 400;
+constexpr std::uint64_t lineDropped = std::numeric_limits<std::uint64_t>::max();
+
+/** Counts a line. Returns `lineDropped` when it must not be written, else the number dropped before it in the last second. */
+std::uint64_t takeLine()
+{
+    static std::mutex mutex;
+    static Instant second;
+    static std::uint64_t lines = 0;
+    const std::lock_guard lock(mutex);
+    const Instant now = MonotonicClock::now();
+    std::uint64_t dropped = 0;
+    if (now - second >= std::chrono::seconds(1)) {
+        dropped = lines > maxLinesPerSecond ? lines - maxLinesPerSecond : 0;
+        second = now;
+        lines = 0;
+    }
+    return ++lines > maxLinesPerSecond ? lineDropped : dropped;
+}
+
 std::string quoted(std::string_view text)
 {
     return boost::json::serialize(boost::json::string_view(text.data(), text.size()));
@@ -51,9 +78,13 @@
     return field;
 }
 
-void startLogging(const std::string &node, LogLevel level)
+void startLogging(const std::string &node, LogLevel level, LogTarget target)
 {
-    auto logger = std::make_shared<spdlog::logger>("lagoonroute", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    spdlog::sink_ptr sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    if (target == LogTarget::StandardOutput) {
+        sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    }
+    auto logger = std::make_shared<spdlog::logger>("lagoonroute", std::move(sink));
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","node":)" + quoted(node) + ",%v}");
     logger->set_level(spdlogLevel(level));
     spdlog::set_default_logger(std::move(logger));
@@ -69,6 +100,13 @@
     if (!isLogged(level)) {
         return;
     }
+    const std::uint64_t dropped = takeLine();
+    if (dropped == lineDropped) {
+        return;
+    }
+    if (dropped > 0) {
+        spdlog::warn(R"("event":"log-lines-dropped","count":{})", dropped);
+    }
     std::string line = "\"event\":" + quoted(event);
     for (const LogField &field : fields) {
         line += "," + quoted(field.name) + ":" + field.value;
--- /dev/null
+++ b/modules/platform/keyfollower.cpp
@@ -0,0 +1,86 @@
+#include <lagoonroute/platform/keyfollower.h>
+
+#include <algorithm>
+
+namespace lagoonroute
+{
+
+KeyFollower::Options KeyFollower::Options::withKey(std::string name, StorePurpose reason) const
+{
+    Options changed = *this;
+    changed.key = std::move(name);
+    changed.purpose = reason;
+    return changed;
+}
+
+KeyFollower::Options KeyFollower::Options::withWatchWait(Duration wait) const
+{
+    Options changed = *this;
+    changed.watchWait = wait;
+    return changed;
+}
+
+KeyFollower::Options KeyFollower::Options::withSeed(std::uint64_t value) const
+{
+    Options changed = *this;
+    changed.seed = value;
+    return changed;
+}
+
+KeyFollower::KeyFollower(Options options, std::uint64_t callNumber)
+    : m_options(std::move(options))
+    , m_callNumber(callNumber)
+    , m_backoff(m_options.firstBackoff, m_options.maxBackoff, m_options.seed)
+{
+}
+
+std::optional<StoreCall> KeyFollower::next(Instant now)
+{
+    if (m_isUnderWay || now < m_dueAt) {
+        return std::nullopt;
+    }
+    m_isUnderWay = true;
+    if (m_position == 0) {
+        return StoreCall{ m_callNumber, m_options.purpose, StoreRead{ m_options.key } };
+    }
+    return StoreCall{ m_callNumber, m_options.purpose, StoreWatch{ m_options.key, m_position, m_options.watchWait } };
+}
+
+std::optional<StoreEntry> KeyFollower::handle(const StoreReply &reply, Instant now)
+{
+    m_isUnderWay = false;
+    m_isInContact = reply.status != StoreStatus::Rejected && reply.status != StoreStatus::Unknown;
+    if (!m_isInContact || reply.status == StoreStatus::Conflict) {
+        // The history from the last position on may be gone, and the answer to a watch may be lost.
+        m_position = 0;
+        m_dueAt = now + m_backoff.next();
+        return std::nullopt;
+    }
+    m_backoff.reset();
+    m_dueAt = now;
+    m_position = std::max({ m_position, reply.asOf, reply.entry.version });
+    if (m_position == 0) {
+        m_dueAt = now + m_options.firstBackoff; // an empty store that tells no version: read again
+    }
+    if (reply.status != StoreStatus::Ok || reply.entry.version <= m_entry.version) {
+        return std::nullopt;
+    }
+    m_entry = reply.entry;
+    return m_entry;
+}
+
+std::optional<Instant> KeyFollower::nextWake() const
+{
+    if (m_isUnderWay) {
+        return std::nullopt;
+    }
+    return m_dueAt;
+}
+
+void KeyFollower::refresh(Instant now)
+{
+    m_position = 0;
+    m_dueAt = now;
+}
+
+} // namespace lagoonroute
--- a/modules/platform/storeclientcore.cpp
+++ b/modules/platform/storeclientcore.cpp
@@ -50,6 +50,14 @@
     return changed;
 }
 
+StoreClientCore::Options StoreClientCore::Options::withBackoff(Duration first, Duration longest) const
+{
+    Options changed = *this;
+    changed.firstBackoff = first;
+    changed.maxBackoff = longest;
+    return changed;
+}
+
 StoreClientCore::Options StoreClientCore::Options::withSeed(std::uint64_t value) const
 {
     Options changed = *this;
--- /dev/null
+++ b/modules/transport/linkconnection.cpp
@@ -0,0 +1,192 @@
+#include "linkconnection.h"
+
+#include <lagoonroute/base/errors.h>
+#include <lagoonroute/transport/linkcodec.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/** Time to connect to a host in any availability zone; a host without power does not answer at all. */
+constexpr std::chrono::milliseconds connectTimeout{ 500 };
+/** A peer that is this far behind is treated as gone. */
+constexpr std::size_t maxUnwrittenBytes = 16U << 20U;
+constexpr std::size_t lengthBytes = sizeof(std::uint32_t);
+
+} // namespace
+
+LinkConnection::LinkConnection(boost::asio::io_context &loop)
+    : m_socket(loop)
+    , m_connectTimer(loop)
+{
+}
+
+void LinkConnection::setHandlers(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+}
+
+void LinkConnection::dial(const NodeAddress &address)
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(address.ip, error);
+    if (error) {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->lose(); });
+        return;
+    }
+    m_connectTimer.expires_after(connectTimeout);
+    m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code &waitError) {
+        if (!waitError && !self->m_isOpen) {
+            self->lose();
+        }
+    });
+    m_socket.async_connect({ ip, address.port }, [self = shared_from_this()](const boost::system::error_code &connectError) {
+        if (self->m_isClosed) {
+            return;
+        }
+        self->m_connectTimer.cancel();
+        if (connectError) {
+            self->lose();
+            return;
+        }
+        self->opened();
+    });
+}
+
+void LinkConnection::accept(tcp::socket socket)
+{
+    m_socket = std::move(socket);
+    opened();
+}
+
+void LinkConnection::opened()
+{
+    m_isOpen = true;
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_handlers.onOpened();
+    scheduleWrite();
+    read();
+    m_handlers.onTurnEnd();
+}
+
+void LinkConnection::read()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_socket.async_read_some(boost::asio::buffer(m_chunk), [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+        if (self->m_isClosed) {
+            return;
+        }
+        if (error) {
+            self->lose();
+            return;
+        }
+        self->m_received.append(self->m_chunk.data(), size);
+        self->takeFrames();
+        self->m_handlers.onTurnEnd();
+        self->read();
+    });
+}
+
+void LinkConnection::takeFrames()
+{
+    std::size_t position = 0;
+    while (!m_isClosed && m_received.size() - position >= lengthBytes) {
+        const std::uint32_t size = boost::endian::load_big_u32(reinterpret_cast<const unsigned char *>(m_received.data()) + position);
+        if (size > maxLinkMessageBytes) {
+            lose();
+            return;
+        }
+        if (m_received.size() - position - lengthBytes < size) {
+            break;
+        }
+        try {
+            LinkMessage message = decodeLinkMessage(std::string_view(m_received).substr(position + lengthBytes, size));
+            position += lengthBytes + size;
+            m_handlers.onMessage(std::move(message));
+        } catch (const MalformedMessage &) {
+            lose();
+            return;
+        }
+    }
+    m_received.erase(0, position);
+}
+
+void LinkConnection::send(const LinkMessage &message)
+{
+    if (m_isClosed) {
+        return;
+    }
+    const std::string body = encodeLinkMessage(message);
+    std::array<unsigned char, lengthBytes> length{};
+    boost::endian::store_big_u32(length.data(), static_cast<std::uint32_t>(body.size()));
+    m_toWrite.append(reinterpret_cast<const char *>(length.data()), length.size());
+    m_toWrite += body;
+    scheduleWrite();
+}
+
+void LinkConnection::scheduleWrite()
+{
+    if (!m_isOpen || m_toWrite.empty() || !m_writing.empty() || std::exchange(m_isWriteScheduled, true)) {
+        return;
+    }
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_isWriteScheduled = false;
+        self->write();
+    });
+}
+
+void LinkConnection::write()
+{
+    if (m_isClosed || m_toWrite.empty() || !m_writing.empty()) {
+        return;
+    }
+    if (m_toWrite.size() > maxUnwrittenBytes) {
+        lose();
+        return;
+    }
+    m_writing.swap(m_toWrite);
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+        if (self->m_isClosed) {
+            return;
+        }
+        if (error) {
+            self->lose();
+            return;
+        }
+        self->m_writing.clear();
+        self->write();
+    });
+}
+
+void LinkConnection::close()
+{
+    m_isClosed = true;
+    m_connectTimer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void LinkConnection::lose()
+{
+    if (m_isClosed) {
+        return;
+    }
+    close();
+    m_handlers.onClosed();
+    m_handlers.onTurnEnd();
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/transport/linkendpoint.cpp
@@ -0,0 +1,111 @@
+#include <lagoonroute/transport/linkendpoint.h>
+
+#include "linkconnection.h"
+
+#include <lagoonroute/network/tcplistener.h>
+
+#include <unordered_map>
+#include <utility>
+
+namespace lagoonroute
+{
+
+class LinkEndpoint::Implementation
+{
+public:
+    Implementation(boost::asio::io_context &loop, Handlers handlers)
+        : m_loop(loop)
+        , m_handlers(std::move(handlers))
+    {
+    }
+
+    void listen(const NodeAddress &address)
+    {
+        m_listener.emplace(m_loop, address, [this](boost::asio::ip::tcp::socket socket) { add().second->accept(std::move(socket)); });
+    }
+
+    LinkId dial(const NodeAddress &address)
+    {
+        const auto [link, connection] = add();
+        connection->dial(address);
+        return link;
+    }
+
+    void send(LinkId link, const LinkMessage &message)
+    {
+        const auto found = m_connections.find(link);
+        if (found != m_connections.end()) {
+            found->second->send(message);
+        }
+    }
+
+    void close(LinkId link)
+    {
+        const auto found = m_connections.find(link);
+        if (found != m_connections.end()) {
+            found->second->close();
+            m_connections.erase(found);
+        }
+    }
+
+    void closeAll()
+    {
+        m_listener.reset();
+        for (auto &[link, connection] : m_connections) {
+            connection->close();
+        }
+        m_connections.clear();
+    }
+
+private:
+    std::pair<LinkId, std::shared_ptr<LinkConnection>> add()
+    {
+        const LinkId link = ++m_lastLink;
+        const auto connection = std::make_shared<LinkConnection>(m_loop);
+        connection->setHandlers(LinkConnection::Handlers{ [this, link] { m_handlers.onOpened(link); },
+                                                          [this, link](LinkMessage &&message) { m_handlers.onMessage(link, std::move(message)); },
+                                                          [this, link] {
+                                                              m_connections.erase(link);
+                                                              m_handlers.onClosed(link);
+                                                          },
+                                                          [this] { m_handlers.onTurnEnd(); } });
+        m_connections[link] = connection;
+        return { link, connection };
+    }
+
+    boost::asio::io_context &m_loop;
+    Handlers m_handlers;
+    std::optional<TcpListener> m_listener;
+    std::unordered_map<LinkId, std::shared_ptr<LinkConnection>> m_connections;
+    LinkId m_lastLink = 0;
+};
+
+LinkEndpoint::LinkEndpoint(boost::asio::io_context &loop, const std::optional<NodeAddress> &address, Handlers handlers)
+    : m_implementation(std::make_shared<Implementation>(loop, std::move(handlers)))
+{
+    if (address) {
+        m_implementation->listen(*address);
+    }
+}
+
+LinkEndpoint::~LinkEndpoint()
+{
+    m_implementation->closeAll();
+}
+
+LinkId LinkEndpoint::dial(const NodeAddress &address)
+{
+    return m_implementation->dial(address);
+}
+
+void LinkEndpoint::send(LinkId link, const LinkMessage &message)
+{
+    m_implementation->send(link, message);
+}
+
+void LinkEndpoint::close(LinkId link)
+{
+    m_implementation->close(link);
+}
+
+} // namespace lagoonroute
