Runs are moved by forecasts from listed progress, not by estimates

A watch from a version older than the store's history is refused at once, so both followers looped (3327 store calls). Ruled out: 'percent' is the progress of a run (trial with logged lists). Change: RunProgress forecasts ends, the entry compares tasks of one step over upstreams, suspends those that stand still or are slow, and moves only runs that a fresh one would beat; KeyFollower reads while the store refuses the watch; a stopping entry closes idle connections after the withdraw time.

--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -43,9 +43,12 @@
         , m_core(DirectEntryCore::Options().withNode(m_settings.node, m_settings.link).withZone(m_settings.zone))
         , m_plan(DialPlan::Options().withSelf(m_settings.link))
         , m_routesFollower(KeyFollower::Options().withKey(D::routesKey(), StorePurpose::Configuration).withSeed(seed()), routesCall)
-        , m_contactsFollower(
-              KeyFollower::Options().withKey(entryContactsKey, StorePurpose::Contact).withWatchWait(std::chrono::seconds(10)).withSeed(seed() + 1),
-              contactsCall)
+        , m_contactsFollower(KeyFollower::Options()
+                                 .withKey(entryContactsKey, StorePurpose::Contact)
+                                 .withWatchWait(std::chrono::seconds(10))
+                                 .withPollInterval(std::chrono::seconds(5))
+                                 .withSeed(seed() + 1),
+                             contactsCall)
         , m_client(m_loop.context())
         , m_storePort(m_client, addressFromText(m_settings.store), [this] { m_loop.requestTurn(); })
         , m_store(storeLimits(seed()), m_storePort)
@@ -119,7 +122,11 @@
         m_core.elapse(now, m_actions);
         carryOut(now);
         if (m_stopAt) {
-            const bool isIdle = m_callers.busy() == 0 && now >= *m_stopAt + m_settings.withdrawTime;
+            const bool isWithdrawn = now >= *m_stopAt + m_settings.withdrawTime;
+            if (isWithdrawn && !std::exchange(m_hasClosedIdle, true)) {
+                m_callers.closeIdle();
+            }
+            const bool isIdle = isWithdrawn && m_callers.busy() == 0;
             if (isIdle || now >= *m_stopAt + m_settings.drainLimit) {
                 m_loop.finish();
             }
@@ -431,6 +438,7 @@
     std::set<LinkId> m_holders; // links whose other end has the newest configuration
     OfferDocument m_document;
     std::optional<Instant> m_stopAt;
+    bool m_hasClosedIdle = false;
     bool m_wasReady = false;
     bool m_isStoreInContact = true;
     bool m_mayAddContact = false;
--- a/include/lagoonroute/app/directsettings.h
+++ b/include/lagoonroute/app/directsettings.h
@@ -32,7 +32,7 @@
     std::vector<ContactSetting> contacts; /**< Some entries; any of them may be gone. */
     LogLevel logLevel = LogLevel::Info;
     Duration offerLifetime = std::chrono::seconds(5); /**< Agent: time for which a report of the upstream holds. */
-    Duration withdrawTime = std::chrono::milliseconds(2500); /**< Of a planned stop: the balancer asks once a second and needs two misses. */
+    Duration withdrawTime = std::chrono::milliseconds(2200); /**< Of a planned stop: the balancer asks once a second and needs two misses. */
     Duration drainLimit = std::chrono::milliseconds(5500); /**< Of a planned stop: after it, what is left is cut. */
 
     /** Returns the settings in the file. Throws InvalidDocument with a line for each fault: file, field, value and what is allowed. */
--- a/include/lagoonroute/direct/agentboard.h
+++ b/include/lagoonroute/direct/agentboard.h
@@ -34,6 +34,9 @@
     {
         std::string zone; /**< Of this entry; agents there are preferred among equals. */
         Duration suspectAfter = std::chrono::milliseconds(450); /**< Without a beat; two beats may be late. */
+        Duration firstSuspension = std::chrono::milliseconds(500); /**< After a run stood still; long enough for a short trouble to pass. */
+        Duration longestSuspension = std::chrono::seconds(2); /**< Bounds how late a sound upstream is used again. */
+        double slownessToSuspend = 2.5; /**< Times the usual run time, from which an upstream only gets single tasks; sound ones differ by 1.6. */
         double farFactor = 1.5; /**< Run time away from the preferred label, against the run time there. */
         EjectionRules ejection;
         StragglerRules straggler;
@@ -55,6 +58,10 @@
         std::deque<Resources> unhandled; /**< Needs of the starts that the stated room does not contain yet. */
         Instant lastBeat;
         double slowness = 1; /**< Run times against what is expected of them, smoothed. */
+        std::size_t runs = 0; /**< Of this entry, at the agent. */
+        bool isOnProbation = false; /**< Gets single tasks after `suspendedUntil`, until one shows that it is sound again. */
+        Instant suspendedUntil;
+        Duration suspension{ 0 }; /**< Doubles with each suspension in a row. */
     };
 
     explicit AgentBoard(Options options);
@@ -90,8 +97,14 @@
     /** Learns from the end of a run. */
     void learn(NodeId node, AttemptResult result, Duration runTime, Duration expected, Instant now);
 
-    /** Marks an agent whose runs take much longer than expected: it gets no starts until one of them ends. */
-    void setStalled(NodeId node, bool stalled);
+    /** Learns from the forecast of a run: how long it takes against what is expected, with the weight from 0 to 1 of that comparison. */
+    void compare(NodeId node, double ratio, double weight, Instant now);
+
+    /** A run at the agent stands still: it gets no starts for a while, and then single ones. */
+    void suspend(NodeId node, Instant now);
+
+    /** Notes that a run of this entry at the agent is over. */
+    void runOver(NodeId node);
 
     /** Room for new starts at an agent. */
     [[nodiscard]] static Resources room(const Agent &agent);
@@ -116,6 +129,7 @@
 
 private:
     [[nodiscard]] bool isUsable(const Agent &agent, Instant now) const;
+    void judge(Agent &agent, Instant now) const;
 
     Options m_options;
     std::map<NodeId, Agent> m_agents;
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -55,8 +55,10 @@
         Duration answerRetention = std::chrono::seconds(10); /**< For which a resubmission gets the answer that was given. */
         std::size_t maxKeptAnswers = 4096;
         std::size_t maxJobs = 20'000; /**< Further submissions are refused. */
-        double overdueFactor = 3; /**< Times the expected run time, after which a run is taken elsewhere. */
-        Duration overdueMargin = std::chrono::milliseconds(150); /**< On top, for the ways and the upstream's list. */
+        double moveFactor = 1.6; /**< A run is taken elsewhere when it needs this many times what a fresh one would; sound upstreams differ by 1.6. */
+        Duration moveCost = std::chrono::milliseconds(60); /**< To stop a run and start it elsewhere: 50 ms for the stop, and the ways. */
+        std::uint32_t maxMoves = 2; /**< Of one task; more would throw away more work than they save. */
+        Duration startTime = std::chrono::milliseconds(1500); /**< After the start of the process, in which it waits for agents to greet. */
         double usefulFactor = 1.25; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
 
         Options withNode(std::string name, std::string ownAddress) const;
@@ -126,7 +128,12 @@
         LinkId link = 0;
         Instant sentAt;
         Instant provenAt; // while Unproven
+        std::uint32_t moves = 0;
+        std::optional<Instant> forecastEnd;
+        Duration forecastTotal{ 0 }; // from the start of the run
+        bool isStalled = false;
         Duration expected{ 0 };
+        double work = 0; // as counted in the job's while it waits
         std::vector<NodeId> excluded;
         std::string checkpoint;
     };
@@ -154,7 +161,7 @@
     using JobPointer = std::shared_ptr<Job>;
 
     JobPointer admit(const RouteRule &route, const DirectJob &job, Duration patience, Instant now);
-    [[nodiscard]] std::optional<DirectAnswer> refusalOf(const RouteRule &route, const DirectJob &job) const;
+    [[nodiscard]] std::optional<DirectAnswer> refusalOf(const RouteRule &route, const DirectJob &job, Instant now) const;
     Task *findTask(const DirectTaskId &id, JobPointer &job);
     void taskEnded(NodeId agent, const TaskEnded &end, Instant now, EntryActions &actions);
     void startRefused(NodeId agent, const StartRefused &refusal, Instant now, EntryActions &actions);
@@ -171,6 +178,11 @@
     bool placeTasks(const JobPointer &job, Instant now);
     void flushStarts(EntryActions &actions);
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
+    void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
+    void learnFromSiblings(Job &job, const Task &task, Instant now);
+    [[nodiscard]] bool shouldMove(const Job &job, const Task &task, Instant now) const;
+    void move(const JobPointer &job, Task &task, Instant now, EntryActions &actions);
+    void proveOver(Instant now);
     void reviewRuns(Instant now, EntryActions &actions);
     void expire(Instant now, EntryActions &actions);
     [[nodiscard]] PlacementWish wishOf(const Job &job, const Task &task) const;
@@ -201,6 +213,7 @@
     std::deque<KeptAnswer> m_answers;
     std::map<LinkId, Instant> m_strangers; // links that have not greeted, and when they opened
     std::vector<PendingStart> m_pendingStarts;
+    std::optional<Instant> m_startedAt; // first elapse() of this process
     std::size_t m_peers = 0;
     bool m_needsPump = false;
     Instant m_nextReview;
--- a/include/lagoonroute/direct/linkmessages.h
+++ b/include/lagoonroute/direct/linkmessages.h
@@ -69,6 +69,17 @@
     auto operator<=>(const TaskEnded &) const = default;
 };
 
+/** When a run is expected to end, by the progress that its upstream lists. */
+struct RunForecast
+{
+    DirectTaskId task;
+    std::uint32_t run = 0;
+    Duration remaining{ 0 };
+    bool isStalled = false; /**< Whether it makes no progress at all; `remaining` then says nothing. */
+
+    auto operator<=>(const RunForecast &) const = default;
+};
+
 /** Why a start was not made. The run has not started and never will. */
 enum class StartRefusal : std::uint8_t {
     NoRoom,
@@ -154,8 +165,19 @@
 };
 
 /** Every message on a link between an agent and an entry, or between two entries. */
-using LinkMessage = std::
-    variant<AgentHello, AgentOffer, AgentRoom, AgentBeat, TaskEnded, StartRefused, EntryHello, EntryEcho, StartTasks, StopTask, OfferDocument, EntryList>;
+using LinkMessage = std::variant<AgentHello,
+                                 AgentOffer,
+                                 AgentRoom,
+                                 AgentBeat,
+                                 TaskEnded,
+                                 StartRefused,
+                                 RunForecast,
+                                 EntryHello,
+                                 EntryEcho,
+                                 StartTasks,
+                                 StopTask,
+                                 OfferDocument,
+                                 EntryList>;
 
 /** Number of a link within one process. */
 using LinkId = std::uint64_t;
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <lagoonroute/direct/runprogress.h>
 #include <lagoonroute/direct/upstreamevents.h>
 
 #include <map>
@@ -28,6 +29,7 @@
         Duration linkSilence = std::chrono::milliseconds(700); /**< Without an echo, after which an entry's runs are stopped. */
         Duration beatInterval = std::chrono::milliseconds(200); /**< A link survives two lost beats. */
         Duration lookWait = std::chrono::milliseconds(1000); /**< Of a look that waits for an end. */
+        Duration progressInterval = std::chrono::milliseconds(100); /**< Without an answer to a look, after which one is made for progress. */
         Duration orderTimeout = std::chrono::milliseconds(200); /**< For the answer to a start or stop on the same host. */
         Duration roomInterval = std::chrono::milliseconds(4); /**< Least time between two statements of free room on a link. */
         Duration offerLifetime = std::chrono::milliseconds(5000); /**< Of a report; three reports may be lost. */
@@ -110,6 +112,7 @@
         std::uint64_t phaseLook = 0; // looks with a higher number were sent after the phase began
         Instant changed; // when the phase began
         Instant retryStopAt;
+        RunProgress progress;
     };
 
     struct Link
@@ -173,6 +176,7 @@
     std::optional<Instant> m_extraLookAt; // a look that does not wait is due then
     Instant m_leaseUntil; // latest end of the upstream's lease, by this process's clock
     std::uint32_t m_failedLooks = 0; // in a row
+    Instant m_lookedAt; // last answer to a look
     std::optional<Instant> m_startedAt; // first elapse() of this process
     std::optional<UpstreamReport> m_otherLife; // reported, and not yet seen in a list
     std::uint32_t m_strays = 0; // runs in the last list that nobody here started
--- a/include/lagoonroute/http/httpserver.h
+++ b/include/lagoonroute/http/httpserver.h
@@ -69,6 +69,9 @@
     /** Runs a function on the server's thread. Callable from any thread. */
     void post(std::function<void()> function);
 
+    /** Stops listening and closes every connection on which no request is under way. On the server's thread only. */
+    void closeIdle();
+
     /** From now on closes each connection after its next response. Callable from any thread. */
     void closeAfterResponses();
 
--- a/include/lagoonroute/platform/keyfollower.h
+++ b/include/lagoonroute/platform/keyfollower.h
@@ -13,7 +13,9 @@
 /**
  * Follows one key of the platform's store: a read, then watches from where the last answer ended.
  *
- * A watch that fails, or whose history is gone, leads to a read, so that no change is missed for longer than one watch.
+ * A watch that fails, or whose history is gone, leads to a read, so that no change is missed for longer than one watch. A
+ * store that keeps its history for a while only cannot be watched from its newest version when that is old: it is then
+ * read from time to time until it changes.
  */
 class KeyFollower
 {
@@ -24,12 +26,14 @@
         std::string key;
         StorePurpose purpose = StorePurpose::Configuration;
         Duration watchWait = std::chrono::milliseconds(1500); /**< A connection that went silent is noticed after this. */
+        Duration pollInterval = std::chrono::milliseconds(1000); /**< Between reads while the store refuses the watch. */
         Duration firstBackoff = std::chrono::milliseconds(100);
         Duration maxBackoff = std::chrono::milliseconds(1000);
         std::uint64_t seed = 1;
 
         Options withKey(std::string name, StorePurpose reason) const;
         Options withWatchWait(Duration wait) const;
+        Options withPollInterval(Duration interval) const;
         Options withSeed(std::uint64_t value) const;
     };
 
@@ -72,6 +76,7 @@
     Backoff m_backoff;
     StoreEntry m_entry;
     StoreVersion m_position = 0; // from which the next watch goes on; 0 to read first
+    std::optional<StoreVersion> m_refusedPosition; // from which the store has refused a watch
     bool m_isUnderWay = false;
     bool m_isInContact = false;
     Instant m_dueAt;
--- a/modules/direct/agentboard.cpp
+++ b/modules/direct/agentboard.cpp
@@ -59,6 +59,7 @@
     agent.startsSent = 0;
     agent.startsHandled = 0;
     agent.unhandled.clear();
+    agent.runs = 0;
     agent.lastBeat = now;
     m_byLink[link] = node;
     m_health.add(node, 1);
@@ -140,7 +141,10 @@
 
 bool AgentBoard::isUsable(const Agent &agent, Instant now) const
 {
-    return agent.link != 0 && agent.offer.isOpen && now - agent.lastBeat <= m_options.suspectAfter;
+    if (agent.link == 0 || !agent.offer.isOpen || now - agent.lastBeat > m_options.suspectAfter) {
+        return false;
+    }
+    return !agent.isOnProbation || (now >= agent.suspendedUntil && agent.runs == 0);
 }
 
 std::optional<NodeId> AgentBoard::choose(const PlacementWish &wish, Instant now) const
@@ -182,6 +186,7 @@
 {
     Agent &agent = m_agents[node];
     ++agent.startsSent;
+    ++agent.runs;
     agent.unhandled.push_back(need);
 }
 
@@ -203,14 +208,50 @@
     if (result != AttemptResult::Succeeded || expected <= Duration(0)) {
         return;
     }
-    const double ratio = static_cast<double>(runTime.count()) / static_cast<double>(expected.count());
+    compare(node, static_cast<double>(runTime.count()) / static_cast<double>(expected.count()), slownessGain, now);
+}
+
+void AgentBoard::compare(NodeId node, double ratio, double weight, Instant now)
+{
+    const auto found = m_agents.find(node);
+    if (found == m_agents.end()) {
+        return;
+    }
     double &slowness = found->second.slowness;
-    slowness = std::clamp(slowness + (slownessGain * (std::min(ratio, mostSlowness) - slowness)), leastSlowness, mostSlowness);
+    slowness = std::clamp(slowness + (weight * (std::min(ratio, mostSlowness) - slowness)), leastSlowness, mostSlowness);
+    judge(found->second, now);
 }
 
-void AgentBoard::setStalled(NodeId node, bool stalled)
+void AgentBoard::judge(Agent &agent, Instant now) const
 {
-    m_health.setStalled(node, stalled);
+    if (agent.slowness >= m_options.slownessToSuspend) {
+        if (!std::exchange(agent.isOnProbation, true)) {
+            agent.suspendedUntil = now;
+        }
+    } else if (now >= agent.suspendedUntil) {
+        agent.isOnProbation = false;
+        agent.suspension = Duration(0);
+    }
+}
+
+void AgentBoard::suspend(NodeId node, Instant now)
+{
+    const auto found = m_agents.find(node);
+    if (found == m_agents.end() || now < found->second.suspendedUntil) {
+        return;
+    }
+    Agent &agent = found->second;
+    agent.suspension = std::clamp(agent.suspension * 2, m_options.firstSuspension, m_options.longestSuspension);
+    agent.suspendedUntil = now + agent.suspension;
+    agent.isOnProbation = true;
+}
+
+void AgentBoard::runOver(NodeId node)
+{
+    const auto found = m_agents.find(node);
+    if (found != m_agents.end() && found->second.runs > 0) {
+        --found->second.runs;
+    }
 }
 
 bool AgentBoard::couldFit(const PlacementWish &wish) const
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -27,6 +27,9 @@
 constexpr Duration largestHeadStart = 120ms;
 /** Run number that is certainly above what other entries have used for a task. */
 constexpr std::uint32_t runLeap = 4;
+/** Weight of a comparison with the declared run time, which is off by 40 % as a rule, and with tasks of the same step. */
+constexpr double estimateWeight = 0.05;
+constexpr double siblingWeight = 0.3;
 
 Duration scaled(Duration duration, double factor)
 {
@@ -71,7 +74,7 @@
     m_peers = count;
 }
 
-std::optional<DirectAnswer> DirectEntryCore::refusalOf(const RouteRule &route, const DirectJob &job) const
+std::optional<DirectAnswer> DirectEntryCore::refusalOf(const RouteRule &route, const DirectJob &job, Instant now) const
 {
     if (!job.unsupported.empty() || !route.unsupported.empty()) {
         return DirectAnswer{ DirectVerdict::NotRun, "unsupported: " + (route.unsupported.empty() ? job.unsupported.front() : route.unsupported), 0ms };
@@ -80,6 +83,9 @@
         return DirectAnswer{ DirectVerdict::NotRun, "overloaded", shortestRetryAfter };
     }
     if (m_board.openAgents() == 0) {
+        if (m_startedAt && now - *m_startedAt < m_options.startTime) {
+            return std::nullopt; // agents greet within moments of the start
+        }
         return DirectAnswer{ DirectVerdict::NotRun, "no-worker", shortestRetryAfter };
     }
     for (const DirectStep &step : job.steps) {
@@ -116,7 +122,7 @@
         elapse(now, actions);
         return;
     }
-    if (const auto refusal = refusalOf(route, job)) {
+    if (const auto refusal = refusalOf(route, job, now)) {
         note(actions, "refused", job.id, refusal->reason);
         actions.emplace_back(AnswerRequest{ request, job.id, *refusal });
         return;
@@ -184,8 +190,12 @@
     task.phase = TaskPhase::Waiting;
     task.agent = {};
     task.link = 0;
+    task.forecastEnd.reset();
+    task.forecastTotal = Duration(0);
+    task.isStalled = false;
     ++job.waiting;
-    job.work += static_cast<double>(job.job.steps[task.step].need.cpuMillis) * static_cast<double>(task.expected.count());
+    task.work = static_cast<double>(job.job.steps[task.step].need.cpuMillis) * static_cast<double>(task.expected.count());
+    job.work += task.work;
     m_needsPump = true;
 }
 
@@ -277,6 +287,7 @@
         return;
     }
     --job->active;
+    m_board.runOver(agent);
     const Duration runTime = now - task->sentAt;
     const double work = static_cast<double>(job->job.steps[task->step].need.cpuMillis) * static_cast<double>(task->expected.count());
     const double kept = std::exp(-static_cast<double>((now - m_doneAt).count()) / static_cast<double>(workRateTime.count()));
@@ -343,6 +354,7 @@
         return;
     }
     --job->active;
+    m_board.runOver(agent);
     switch (refusal.reason) {
     case StartRefusal::NoRoom:
     case StartRefusal::Closed:
@@ -453,6 +465,8 @@
         m_needsPump = true;
     } else if (const auto *end = std::get_if<TaskEnded>(&message)) {
         taskEnded(node, *end, now, actions);
+    } else if (const auto *forecast = std::get_if<RunForecast>(&message)) {
+        takeForecast(node, *forecast, now);
     } else if (const auto *refusal = std::get_if<StartRefused>(&message)) {
         startRefused(node, *refusal, now, actions);
     }
@@ -545,7 +559,7 @@
         task.sentAt = now;
         --job->waiting;
         ++job->active;
-        job->work -= static_cast<double>(wish.need.cpuMillis) * static_cast<double>(task.expected.count());
+        job->work -= task.work;
         job->hasStarted = true;
         m_board.startSent(*chosen, wish.need);
         auto pending = std::find_if(m_pendingStarts.begin(), m_pendingStarts.end(), [&](const PendingStart &other) {
@@ -601,7 +615,8 @@
             continue;
         }
         const double rate = std::max(1.0, workRate(job->route.service, now));
-        const auto wait = Duration(static_cast<Duration::rep>(ahead / rate));
+        const bool hasAgents = m_board.openCapacity(job->route.service) > 0;
+        const auto wait = hasAgents ? Duration(static_cast<Duration::rep>(ahead / rate)) : Duration(0);
         ahead += job->work;
         if (job->hasStarted) {
             continue;
@@ -620,33 +635,96 @@
     }
 }
 
-void DirectEntryCore::reviewRuns(Instant now, EntryActions &actions)
+void DirectEntryCore::takeForecast(NodeId agent, const RunForecast &forecast, Instant now)
+{
+    JobPointer job;
+    Task *task = findTask(forecast.task, job);
+    if (task == nullptr || task->run != forecast.run || task->agent != agent || task->phase != TaskPhase::Sent) {
+        return;
+    }
+    task->isStalled = forecast.isStalled;
+    if (forecast.isStalled) {
+        task->forecastEnd.reset();
+        m_board.suspend(agent, now);
+        return;
+    }
+    task->forecastEnd = now + forecast.remaining;
+    task->forecastTotal = *task->forecastEnd - task->sentAt;
+    learnFromSiblings(*job, *task, now);
+}
+
+void DirectEntryCore::learnFromSiblings(Job &job, const Task &task, Instant now)
+{
+    // Tasks of one step are alike, so what differs between their run times is the upstreams' doing.
+    std::vector<Duration> totals;
+    for (const Task &other : job.tasks) {
+        if (other.step == task.step && other.forecastTotal > 0ms && other.agent != task.agent) {
+            totals.push_back(other.forecastTotal);
+        }
+    }
+    if (totals.empty()) {
+        const double ratio = static_cast<double>(task.forecastTotal.count()) / static_cast<double>(std::max<Duration::rep>(1, task.expected.count()));
+        m_board.compare(task.agent, ratio, estimateWeight, now);
+        return;
+    }
+    const auto middle = totals.begin() + static_cast<std::ptrdiff_t>((totals.size() - 1) / 2);
+    std::nth_element(totals.begin(), middle, totals.end());
+    const Duration usual = *middle;
+    m_board.compare(task.agent, static_cast<double>(task.forecastTotal.count()) / static_cast<double>(usual.count()), siblingWeight, now);
+    for (Task &other : job.tasks) {
+        if (other.step == task.step) {
+            other.expected = usual;
+        }
+    }
+}
+
+bool DirectEntryCore::shouldMove(const Job &job, const Task &task, Instant now) const
+{
+    if (task.moves >= m_options.maxMoves) {
+        return false;
+    }
+    const Duration fresh = task.expected + m_options.moveCost;
+    if (now + fresh >= job.deadline) {
+        return false;
+    }
+    if (task.isStalled) {
+        return true;
+    }
+    if (!task.forecastEnd) {
+        return false;
+    }
+    return *task.forecastEnd - now > scaled(fresh, m_options.moveFactor);
+}
+
+void DirectEntryCore::move(const JobPointer &job, Task &task, Instant now, EntryActions &actions)
+{
+    PlacementWish wish = wishOf(*job, task);
+    wish.excluded.push_back(task.agent);
+    if (!m_board.choose(wish, now)) {
+        return;
+    }
+    const std::string remaining = task.isStalled ? "stands still" : "needs " + std::to_string((*task.forecastEnd - now).count() / 1000) + " ms more";
+    note(actions, "run-moved", job->job.id, remaining + " against " + std::to_string(task.expected.count() / 1000) + " ms expected");
+    ++task.moves;
+    task.excluded.push_back(task.agent);
+    task.phase = TaskPhase::Stopping;
+    actions.emplace_back(SendOnLink{ task.link, StopTask{ { job->job.id, task.step, task.index }, task.run } });
+}
+
+void DirectEntryCore::proveOver(Instant now)
 {
     std::vector<JobPointer> closed;
     for (const auto &[id, job] : m_jobs) {
         for (Task &task : job->tasks) {
-            if (task.phase == TaskPhase::Unproven && now >= task.provenAt) {
-                --job->active;
-                if (job->isClosed) {
-                    task.phase = TaskPhase::Dropped;
-                    closed.push_back(job);
-                } else {
-                    requeue(*job, task);
-                }
-            }
-            if (task.phase != TaskPhase::Sent || job->isClosed) {
+            if (task.phase != TaskPhase::Unproven || now < task.provenAt) {
                 continue;
             }
-            const Duration usual = scaled(task.expected, std::max(1.0, m_board.slowness(task.agent)));
-            if (now - task.sentAt > scaled(usual, m_options.overdueFactor) + m_options.overdueMargin && now + task.expected < job->deadline) {
-                note(actions,
-                     "run-overdue",
-                     job->job.id,
-                     "after " + std::to_string((now - task.sentAt).count() / 1000) + " ms of " + std::to_string(task.expected.count() / 1000) + " expected");
-                m_board.setStalled(task.agent, true);
-                task.excluded.push_back(task.agent);
-                task.phase = TaskPhase::Stopping;
-                actions.emplace_back(SendOnLink{ task.link, StopTask{ { id, task.step, task.index }, task.run } });
+            --job->active;
+            if (job->isClosed) {
+                task.phase = TaskPhase::Dropped;
+                closed.push_back(job);
+            } else {
+                requeue(*job, task);
             }
         }
     }
@@ -655,6 +733,21 @@
     }
 }
 
+void DirectEntryCore::reviewRuns(Instant now, EntryActions &actions)
+{
+    proveOver(now);
+    for (const auto &[id, job] : m_jobs) {
+        if (job->isClosed) {
+            continue;
+        }
+        for (Task &task : job->tasks) {
+            if (task.phase == TaskPhase::Sent && shouldMove(*job, task, now)) {
+                move(job, task, now, actions);
+            }
+        }
+    }
+}
+
 DirectAnswer DirectEntryCore::timeIsOver(const Job &job, Instant /*now*/) const
 {
     if (job.hasStarted) {
@@ -680,6 +773,9 @@
 
 void DirectEntryCore::elapse(Instant now, EntryActions &actions)
 {
+    if (!m_startedAt) {
+        m_startedAt = now;
+    }
     if (now >= m_nextReview) {
         m_nextReview = now + reviewInterval;
         std::vector<LinkId> silent;
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -185,6 +185,7 @@
         note(actions, "upstream-answers", m_report.id, "");
         roomHasChanged();
     }
+    m_lookedAt = now;
     if (answer.clock) {
         m_clock = answer.clock;
         m_clockAt = now;
@@ -253,6 +254,11 @@
                 requestStop(row.task, run->second, now, actions);
             }
         }
+        if (run->second.phase == RunPhase::Running) {
+            if (const auto forecast = run->second.progress.observe(row.percent, now)) {
+                actions.emplace_back(SendOnLink{ run->second.link, RunForecast{ row.task, row.run, forecast->remaining, forecast->isStalled } });
+            }
+        }
     }
     for (auto run = m_runs.begin(); run != m_runs.end();) {
         const auto current = run++;
@@ -473,6 +479,7 @@
     Run &run = m_runs[id];
     run = Run{ .link = linkId, .entry = link.entry, .run = task.run, .phase = RunPhase::Starting, .need = task.need, .changed = now };
     run.phaseLook = m_lastLook;
+    run.progress = RunProgress(now);
     m_used = m_used + task.need;
     roomHasChanged();
     const auto leaseTime = std::chrono::duration_cast<Duration>(m_options.lease * slowestClock);
@@ -609,7 +616,8 @@
 {
     const bool isDue = m_extraLookAt && now >= *m_extraLookAt;
     const bool isLow = !m_runs.empty() && m_phase == Phase::Serving && m_leaseUntil - now < m_options.lease / 2;
-    if ((isDue || isLow) && m_renewingLook == 0 && now >= m_nextLookAt) {
+    const bool isBlind = !m_runs.empty() && m_phase == Phase::Serving && now - m_lookedAt >= m_options.progressInterval;
+    if ((isDue || isLow || isBlind) && m_renewingLook == 0 && now >= m_nextLookAt) {
         m_extraLookAt.reset();
         look(now, 0ms, actions);
     }
@@ -743,6 +751,7 @@
         consider(m_leaseUntil + Duration(1));
         if (m_phase == Phase::Serving && m_renewingLook == 0) {
             consider(std::max(m_leaseUntil - (m_options.lease / 2) + Duration(1), m_nextLookAt));
+            consider(std::max(m_lookedAt + m_options.progressInterval, m_nextLookAt));
         }
     }
     for (const auto &[task, run] : m_runs) {
--- a/modules/http/httpserver.cpp
+++ b/modules/http/httpserver.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <optional>
+#include <set>
 #include <utility>
 
 namespace lagoonroute
@@ -40,8 +42,8 @@
         : m_state(std::make_shared<HttpServerState>())
         , m_ownLoop(std::make_unique<EventLoop>())
         , m_loop(m_ownLoop->context())
-        , m_listener(m_loop, options.address, [this](boost::asio::ip::tcp::socket socket) { startSession(std::move(socket)); })
     {
+        listen(options.address);
         m_state->options = options;
         m_state->handler = std::move(handler);
         m_ownLoop->start();
@@ -50,8 +52,8 @@
     Implementation(boost::asio::io_context &loop, const Options &options, Handler handler)
         : m_state(std::make_shared<HttpServerState>())
         , m_loop(loop)
-        , m_listener(m_loop, options.address, [this](boost::asio::ip::tcp::socket socket) { startSession(std::move(socket)); })
     {
+        listen(options.address);
         m_state->options = options;
         m_state->handler = std::move(handler);
     }
@@ -68,7 +70,7 @@
 
     [[nodiscard]] NodeAddress address() const
     {
-        return m_listener.address();
+        return m_address;
     }
 
     void post(std::function<void()> function)
@@ -76,6 +78,16 @@
         boost::asio::post(m_loop, std::move(function));
     }
 
+    void closeIdle()
+    {
+        m_listener.reset();
+        m_state->closing = true;
+        const std::set<HttpSession *> sessions = m_state->sessions;
+        for (HttpSession *session : sessions) {
+            session->closeIfIdle();
+        }
+    }
+
     void closeAfterResponses()
     {
         m_state->closing = true;
@@ -87,6 +99,12 @@
     }
 
 private:
+    void listen(const NodeAddress &address)
+    {
+        m_listener.emplace(m_loop, address, [this](boost::asio::ip::tcp::socket socket) { startSession(std::move(socket)); });
+        m_address = m_listener->address();
+    }
+
     void startSession(boost::asio::ip::tcp::socket socket)
     {
         if (m_state->connections < m_state->options.maxConnections) {
@@ -97,7 +115,8 @@
     std::shared_ptr<HttpServerState> m_state;
     std::unique_ptr<EventLoop> m_ownLoop; // null on a loop of the caller's
     boost::asio::io_context &m_loop;
-    TcpListener m_listener;
+    std::optional<TcpListener> m_listener;
+    NodeAddress m_address;
 };
 
 HttpServer::HttpServer(const Options &options, Handler handler)
@@ -122,6 +141,11 @@
     m_implementation->post(std::move(function));
 }
 
+void HttpServer::closeIdle()
+{
+    m_implementation->closeIdle();
+}
+
 void HttpServer::closeAfterResponses()
 {
     m_implementation->closeAfterResponses();
--- a/modules/http/httpsession.cpp
+++ b/modules/http/httpsession.cpp
@@ -60,12 +60,14 @@
     , m_state(std::move(state))
 {
     ++m_state->connections;
+    m_state->sessions.insert(this);
 }
 
 HttpSession::~HttpSession()
 {
     finish();
     --m_state->connections;
+    m_state->sessions.erase(this);
 }
 
 void HttpSession::start()
@@ -75,6 +77,16 @@
     readRequest();
 }
 
+void HttpSession::closeIfIdle()
+{
+    const bool isReading = m_parser && (m_parser->got_some() || m_buffer.size() > 0);
+    beast::error_code error;
+    const bool hasUnread = m_stream.socket().is_open() && m_stream.socket().available(error) > 0;
+    if (!m_isBusy && !isReading && !hasUnread) {
+        close();
+    }
+}
+
 void HttpSession::readRequest()
 {
     m_parser.emplace();
--- a/modules/http/httpsession.h
+++ b/modules/http/httpsession.h
@@ -10,15 +10,19 @@
 #include <atomic>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace lagoonroute
 {
 
+class HttpSession;
+
 /** What the connections of one server share. */
 struct HttpServerState
 {
     HttpServer::Options options;
     HttpServer::Handler handler;
+    std::set<HttpSession *> sessions; /**< Touched on the server's thread only. */
     std::size_t connections = 0; /**< Open connections; touched on the server's thread only. */
     std::atomic<std::size_t> busy = 0; /**< Requests without a written response. */
     std::atomic<bool> closing = false; /**< Whether connections close after their next response. */
@@ -37,6 +41,9 @@
     /** Starts to read the first request. */
     void start();
 
+    /** Closes the connection unless a request is being read or handled. */
+    void closeIfIdle();
+
 private:
     class Exchange;
 
--- a/modules/platform/keyfollower.cpp
+++ b/modules/platform/keyfollower.cpp
@@ -20,6 +20,13 @@
     return changed;
 }
 
+KeyFollower::Options KeyFollower::Options::withPollInterval(Duration interval) const
+{
+    Options changed = *this;
+    changed.pollInterval = interval;
+    return changed;
+}
+
 KeyFollower::Options KeyFollower::Options::withSeed(std::uint64_t value) const
 {
     Options changed = *this;
@@ -40,7 +47,7 @@
         return std::nullopt;
     }
     m_isUnderWay = true;
-    if (m_position == 0) {
+    if (m_position == 0 || m_position == m_refusedPosition) {
         return StoreCall{ m_callNumber, m_options.purpose, StoreRead{ m_options.key } };
     }
     return StoreCall{ m_callNumber, m_options.purpose, StoreWatch{ m_options.key, m_position, m_options.watchWait } };
@@ -50,8 +57,13 @@
 {
     m_isUnderWay = false;
     m_isInContact = reply.status != StoreStatus::Rejected && reply.status != StoreStatus::Unknown;
-    if (!m_isInContact || reply.status == StoreStatus::Conflict) {
-        // The history from the last position on may be gone, and the answer to a watch may be lost.
+    if (reply.status == StoreStatus::Conflict) {
+        m_refusedPosition = m_position;
+        m_dueAt = now;
+        return std::nullopt;
+    }
+    if (!m_isInContact) {
+        // The answer may be lost, and with it a change.
         m_position = 0;
         m_dueAt = now + m_backoff.next();
         return std::nullopt;
@@ -59,6 +71,9 @@
     m_backoff.reset();
     m_dueAt = now;
     m_position = std::max({ m_position, reply.asOf, reply.entry.version });
+    if (m_position == m_refusedPosition) {
+        m_dueAt = now + m_options.pollInterval;
+    }
     if (m_position == 0) {
         m_dueAt = now + m_options.firstBackoff; // an empty store that tells no version: read again
     }
--- a/modules/transport/linkcodec.cpp
+++ b/modules/transport/linkcodec.cpp
@@ -55,6 +55,12 @@
     archive(value.task, value.run, value.reason);
 }
 
+template <class Archive>
+void serialize(Archive &archive, RunForecast &value)
+{
+    archive(value.task, value.run, value.remaining, value.isStalled);
+}
+
 template <class Archive>
 void serialize(Archive &archive, EntryHello &value)
 {
