Simulation of direct entries and agents under faults; tokens rise across lives

Cause: no test covered the direct cores. Change: the fencing token begins with the time of day and rises at each new life; it is doubled up, not counted up, when the upstream refuses it.

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -41,6 +41,7 @@
                    [this, settingsPath] { reload(settingsPath); } })
         , m_core(UpstreamCore::Options()
                      .withNode(m_settings.node, m_settings.zone, static_cast<Incarnation>(MonotonicClock::nowWithSuspension().time_since_epoch().count()))
+                     .withFirstToken(static_cast<std::uint64_t>(timeOfDay().time_since_epoch().count()))
                      .withOfferLifetime(m_settings.offerLifetime))
         , m_plan(DialPlan::Options())
         , m_contactsFollower(KeyFollower::Options().withKey(entryContactsKey, StorePurpose::Contact).withSeed(NodeId::fromName(m_settings.node).value),
@@ -90,6 +91,11 @@
     /** For the answer of the upstream, which runs on the same host. */
     static constexpr Duration orderTime = std::chrono::milliseconds(200);
 
+    static WallTime timeOfDay()
+    {
+        return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    }
+
     std::optional<Instant> turn(Instant now)
     {
         seekEntries(now);
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -25,6 +25,7 @@
         std::string node;
         std::string zone;
         Incarnation incarnation = 1;
+        std::uint64_t firstToken = 1; /**< Fencing token to begin with: the time of day, so that a later life mostly begins above an earlier one. */
         Duration lease = std::chrono::milliseconds(800); /**< Of everything that runs; below the upstream's own bound of 1 s. */
         Duration linkSilence = std::chrono::milliseconds(700); /**< Without an echo, after which an entry's runs are stopped. */
         Duration beatInterval = std::chrono::milliseconds(200); /**< A link survives two lost beats. */
@@ -35,6 +36,7 @@
         Duration offerLifetime = std::chrono::milliseconds(5000); /**< Of a report; three reports may be lost. */
 
         Options withNode(std::string name, std::string availabilityZone, Incarnation life) const;
+        Options withFirstToken(std::uint64_t token) const;
         Options withLease(Duration term) const;
         Options withOfferLifetime(Duration time) const;
     };
@@ -165,6 +167,7 @@
     bool m_hasReport = false;
     Instant m_reportedAt;
     std::uint64_t m_token = 1;
+    std::uint64_t m_tokenStep = 0; // by which the token was last raised
     std::optional<std::int64_t> m_clock; // of the upstream, at m_clockAt
     Instant m_clockAt;
     std::int64_t m_born = 0; // life that the lists come from
--- /dev/null
+++ b/modules/direct/tests/upstreammodel.cpp
@@ -0,0 +1,203 @@
+#include "upstreammodel.h"
+
+#include <algorithm>
+
+namespace lagoonroute
+{
+
+UpstreamModel::UpstreamModel(Options options, TruthOf truthOf)
+    : m_options(std::move(options))
+    , m_truthOf(std::move(truthOf))
+{
+}
+
+void UpstreamModel::rebirth(Instant now)
+{
+    ++m_born;
+    m_startedAt = now;
+    m_advanced = now;
+    m_token = 0;
+    m_leaseEnd = 0;
+    m_runs.clear();
+    m_highestOver.clear();
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_used = {};
+}
+
+std::int64_t UpstreamModel::clock(Instant now) const
+{
+    return static_cast<std::int64_t>(static_cast<double>((now - m_startedAt).count()) * m_options.clockRate / 1000);
+}
+
+double UpstreamModel::rate() const
+{
+    return m_slowdown <= 0 ? 0 : m_options.speed / m_slowdown;
+}
+
+void UpstreamModel::setSlowdown(double factor, Instant now)
+{
+    advance(now);
+    m_slowdown = factor;
+}
+
+void UpstreamModel::setFailing(bool failing)
+{
+    m_isFailing = failing;
+}
+
+bool UpstreamModel::isFenced(std::uint64_t token)
+{
+    if (token < m_token) {
+        return true;
+    }
+    m_token = token;
+    return false;
+}
+
+void UpstreamModel::extendLease(std::int64_t leaseEnd, Instant now)
+{
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.longestLease).count();
+    m_leaseEnd = std::max(m_leaseEnd, std::min(leaseEnd, clock(now) + longest));
+}
+
+void UpstreamModel::end(std::map<DirectTaskId, Run>::iterator run, RunEnd how)
+{
+    m_ends.push_back(ListedEnd{ ++m_lastEnd, run->first, run->second.run, how, "" });
+    m_highestOver[run->first] = std::max(m_highestOver[run->first], run->second.run);
+    m_used = m_used - m_truthOf(run->first).need;
+    m_runs.erase(run);
+}
+
+bool UpstreamModel::advance(Instant now)
+{
+    const auto endsBefore = m_lastEnd;
+    const double done = static_cast<double>((now - m_advanced).count()) * rate();
+    m_advanced = now;
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto current = run++;
+        current->second.left -= done;
+        if (current->second.fails && current->second.left <= current->second.whole / 2) {
+            end(current, RunEnd::Failed);
+        } else if (current->second.left <= 0.5) {
+            end(current, RunEnd::Done);
+        }
+    }
+    if (!m_runs.empty() && clock(now) > m_leaseEnd) {
+        while (!m_runs.empty()) {
+            end(m_runs.begin(), RunEnd::Lost);
+        }
+    }
+    return m_lastEnd != endsBefore;
+}
+
+std::optional<Instant> UpstreamModel::nextEnd() const
+{
+    if (m_runs.empty()) {
+        return std::nullopt;
+    }
+    const auto leaseTime = Duration(static_cast<Duration::rep>(static_cast<double>(m_leaseEnd + 1) * 1000 / m_options.clockRate));
+    Instant earliest = m_startedAt + leaseTime;
+    for (const auto &[task, run] : m_runs) {
+        const double left = run.fails ? run.left - (run.whole / 2) : run.left;
+        if (rate() > 0) {
+            earliest = std::min(earliest, m_advanced + Duration(static_cast<Duration::rep>(std::max(0.0, left) / rate()) + 1));
+        }
+    }
+    return earliest;
+}
+
+OrderResult UpstreamModel::start(const OrderStart &order, Instant now)
+{
+    advance(now);
+    if (!order.header.upstream.empty() && order.header.upstream != m_options.id) {
+        return OrderResult::OtherLife;
+    }
+    if (isFenced(order.header.fencingToken)) {
+        return OrderResult::FenceTooLow;
+    }
+    if (order.leaseEnd < clock(now)) {
+        return OrderResult::TooLate;
+    }
+    const auto known = m_runs.find(order.task);
+    if (known != m_runs.end() && known->second.run == order.run) {
+        return OrderResult::Accepted;
+    }
+    const auto over = m_highestOver.find(order.task);
+    if (known != m_runs.end() || (over != m_highestOver.end() && order.run <= over->second)) {
+        return OrderResult::RunTooLow;
+    }
+    extendLease(order.leaseEnd, now);
+    const TaskTruth truth = m_truthOf(order.task);
+    const auto work = static_cast<double>(truth.work.count());
+    m_runs[order.task] = Run{ order.run, work, work, truth.alwaysFails || m_isFailing };
+    m_used = m_used + truth.need;
+    m_wasOverfull = m_wasOverfull || !m_used.fitsInto(m_options.capacity);
+    return OrderResult::Accepted;
+}
+
+OrderResult UpstreamModel::stop(const OrderStop &order, Instant now)
+{
+    advance(now);
+    if (!order.header.upstream.empty() && order.header.upstream != m_options.id) {
+        return OrderResult::OtherLife;
+    }
+    if (isFenced(order.header.fencingToken)) {
+        return OrderResult::FenceTooLow;
+    }
+    m_highestOver[order.task] = std::max(m_highestOver[order.task], order.run);
+    const auto run = m_runs.find(order.task);
+    if (run != m_runs.end() && run->second.run <= order.run) {
+        end(run, RunEnd::Stopped);
+    }
+    return OrderResult::Accepted;
+}
+
+LookAnswered UpstreamModel::look(const OrderLook &order, Instant now)
+{
+    advance(now);
+    LookAnswered answer{ .look = order.look, .result = OrderResult::Accepted };
+    if (!order.header.upstream.empty() && order.header.upstream != m_options.id) {
+        answer.result = OrderResult::OtherLife;
+        return answer;
+    }
+    if (isFenced(order.header.fencingToken)) {
+        answer.result = OrderResult::FenceTooLow;
+        return answer;
+    }
+    if (order.leaseEnd) {
+        extendLease(*order.leaseEnd, now);
+    }
+    m_ends.erase(std::remove_if(m_ends.begin(), m_ends.end(), [&](const ListedEnd &end) { return end.number <= order.lastSeenEnd; }), m_ends.end());
+    answer.clock = clock(now);
+    answer.born = m_born;
+    for (const auto &[task, run] : m_runs) {
+        const double done = run.whole > 0 ? 100 * (1 - (run.left / run.whole)) : 100;
+        answer.running.push_back(ListedRun{ task, run.run, "", static_cast<std::uint32_t>(done) });
+    }
+    answer.ended = m_ends;
+    return answer;
+}
+
+UpstreamReport UpstreamModel::report(bool isDraining, std::uint64_t sequence) const
+{
+    return UpstreamReport{ .id = m_options.id,
+                           .born = m_born,
+                           .sequence = sequence,
+                           .service = "booking",
+                           .zone = "plateau",
+                           .capacity = m_options.capacity,
+                           .labels = {},
+                           .isDraining = isDraining };
+}
+
+std::vector<DirectTaskId> UpstreamModel::running() const
+{
+    std::vector<DirectTaskId> tasks;
+    for (const auto &[task, run] : m_runs) {
+        tasks.push_back(task);
+    }
+    return tasks;
+}
+
+} // namespace lagoonroute
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -23,6 +23,8 @@
 constexpr Duration stopTime = 60ms;
 /** Pause before a stop without an answer is sent again. */
 constexpr Duration stopRetry = 50ms;
+/** By which a refused token is raised first, in milliseconds of the time of day; it doubles with each refusal. */
+constexpr std::uint64_t firstTokenStep = 1000;
 /** Looks in a row without an answer before the upstream counts as silent: one answer may be lost. */
 constexpr std::uint32_t tolerableFailedLooks = 1;
 /** A link that says nothing after it was opened is closed. */
@@ -44,6 +46,13 @@
     return changed;
 }
 
+UpstreamCore::Options UpstreamCore::Options::withFirstToken(std::uint64_t token) const
+{
+    Options changed = *this;
+    changed.firstToken = token;
+    return changed;
+}
+
 UpstreamCore::Options UpstreamCore::Options::withLease(Duration term) const
 {
     Options changed = *this;
@@ -61,6 +70,7 @@
 UpstreamCore::UpstreamCore(Options options)
     : m_options(std::move(options))
     , m_phase(Phase::Fencing)
+    , m_token(m_options.firstToken)
 {
 }
 
@@ -125,7 +135,8 @@
         m_hasReport = false;
     }
     note(actions, "upstream-life", m_report.id, "born " + std::to_string(born));
-    m_token = 1;
+    // Orders that the earlier life never carried out may still reach this one; a higher token shuts them out.
+    m_token = std::max(m_token + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, born)));
     m_lastSeenEnd = 0;
     m_strays = 0;
     // What the earlier life was running is gone; an order that it never answered may still reach this one.
@@ -156,7 +167,8 @@
     case OrderResult::Accepted:
         break;
     case OrderResult::FenceTooLow:
-        ++m_token;
+        m_tokenStep = std::max(m_tokenStep * 2, firstTokenStep);
+        m_token += m_tokenStep;
         m_phase = Phase::Fencing;
         roomHasChanged();
         elapse(now, actions);
@@ -207,6 +219,7 @@
     if (m_phase == Phase::Fencing) {
         // The upstream takes this token, so no life of the agent has used a higher one.
         ++m_token;
+        m_tokenStep = 0;
         m_phase = Phase::Clearing;
     } else if (m_phase == Phase::Unknown) {
         m_phase = Phase::Fencing;
