Tests of the platform's formats, links, followed keys, dialling and settings

Change: one test program for platform/, tests beside the modules; the roles' settings name each field that is missing.

--- a/include/lagoonroute/app/directsettings.h
+++ b/include/lagoonroute/app/directsettings.h
@@ -3,6 +3,7 @@
 #include <lagoonroute/base/time.h>
 #include <lagoonroute/observation/log.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,12 @@
     auto operator<=>(const ContactSetting &) const = default;
 };
 
+/** The roles that these settings serve. */
+enum class DirectRole : std::uint8_t {
+    Entry,
+    Agent,
+};
+
 /** Settings of a `direct-entry` or `direct-agent`, read from a JSON file with comments. Addresses have the form "ip:port". */
 struct DirectSettings
 {
@@ -41,6 +48,9 @@
     /** Returns the settings in the text; `source` names it in errors. */
     static DirectSettings fromText(const std::string &text, const std::string &source);
 
+    /** Throws InvalidDocument naming each field that the role needs and that is missing; `source` names the file there. */
+    void require(DirectRole role, const std::string &source) const;
+
     /** Addresses of all contacts. */
     [[nodiscard]] std::vector<std::string> contactAddresses() const;
 
--- a/modules/app/directsettings.cpp
+++ b/modules/app/directsettings.cpp
@@ -5,7 +5,9 @@
 
 #include <lagoonroute/base/errors.h>
 
+#include <string_view>
 #include <type_traits>
+#include <utility>
 
 namespace lagoonroute
 {
@@ -65,6 +67,23 @@
     return settingsFromText<DirectSettings>(text, source);
 }
 
+void DirectSettings::require(DirectRole role, const std::string &source) const
+{
+    using Field = std::pair<std::string_view, const std::string &>;
+    const std::vector<Field> needed = role == DirectRole::Entry ? std::vector<Field>{ { "callers", callers }, { "ready", ready }, { "link", link } }
+                                                                : std::vector<Field>{ { "announce", announce }, { "upstream", upstream } };
+    std::string message;
+    for (const auto &[name, value] : needed) {
+        if (value.empty()) {
+            message += (message.empty() ? "" : "\n") + source + ": /" + std::string(name)
+                + " is missing; the role needs an IP number and a port such as 127.0.0.1:7500";
+        }
+    }
+    if (!message.empty()) {
+        throw InvalidDocument(message);
+    }
+}
+
 std::vector<std::string> DirectSettings::contactAddresses() const
 {
     std::vector<std::string> addresses;
--- /dev/null
+++ b/modules/direct/tests/partstest.cpp
@@ -0,0 +1,124 @@
+#include <lagoonroute/direct/direct.h>
+#include <lagoonroute/direct/runprogress.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonroute;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Instant start{ std::chrono::seconds(100) };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DirectPartsTest)
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins)
+{
+    std::vector<RouteRule> rules;
+    for (const auto &[host, prefix] : std::vector<std::pair<std::string, std::string>>{ { "b", "/" }, { "a", "/x/" }, { "a", "/x/y/" }, { "a", "/" } }) {
+        RouteRule rule;
+        rule.name = host + prefix;
+        rule.host = host;
+        rule.prefix = prefix;
+        rules.push_back(rule);
+    }
+    const RouteTable table(3, rules, {});
+    BOOST_TEST(table.find("a", "/x/y/1")->name == "a/x/y/");
+    BOOST_TEST(table.find("a", "/x/1")->name == "a/x/");
+    BOOST_TEST(table.find("a", "/z")->name == "a/");
+    BOOST_TEST(table.find("b", "/x/y/1")->name == "b/");
+    BOOST_TEST(table.find("c", "/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(RoutesNeverGoBack)
+{
+    DirectEntryCore core{ DirectEntryCore::Options() };
+    EntryActions actions;
+    BOOST_TEST(core.setRoutes(RouteTable(7, {}, {}), start, actions));
+    BOOST_TEST(!core.setRoutes(RouteTable(7, {}, {}), start, actions));
+    BOOST_TEST(!core.setRoutes(RouteTable(5, {}, {}), start, actions));
+    BOOST_TEST(core.routes().version() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(ForecastsTheEndFromTheRecentRate)
+{
+    RunProgress progress(start);
+    BOOST_TEST(!progress.observe(1, start + 10ms).has_value());
+    const auto first = progress.observe(10, start + 100ms);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST((first->remaining == 900ms));
+    BOOST_TEST(!progress.observe(20, start + 200ms).has_value());
+    // Eight times slower from here on.
+    std::optional<RunProgress::Forecast> slow;
+    for (int step = 1; step <= 5; ++step) {
+        if (const auto forecast = progress.observe(20 + static_cast<std::uint32_t>(step), start + 200ms + (step * 80ms))) {
+            slow = forecast;
+        }
+    }
+    BOOST_REQUIRE(slow.has_value());
+    BOOST_TEST((slow->remaining > 3s));
+}
+
+BOOST_AUTO_TEST_CASE(TellsOnceThatARunStandsStillAndWhenItGoesOn)
+{
+    RunProgress progress(start);
+    progress.observe(50, start + 50ms);
+    BOOST_TEST(!progress.observe(50, start + 150ms).has_value());
+    const auto stalled = progress.observe(50, start + 260ms);
+    BOOST_REQUIRE(stalled.has_value());
+    BOOST_TEST(stalled->isStalled);
+    BOOST_TEST(!progress.observe(50, start + 400ms).has_value());
+    const auto again = progress.observe(60, start + 500ms);
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(!again->isStalled);
+}
+
+BOOST_AUTO_TEST_CASE(DialsWhatIsKnownAndPausesBetweenTries)
+{
+    DialPlan plan(DialPlan::Options().withSelf("10.0.0.1:1"));
+    BOOST_TEST(plan.learn({ "10.0.0.1:1", "10.0.0.2:1" }, start));
+    BOOST_TEST(!plan.learn({ "10.0.0.2:1" }, start));
+    BOOST_TEST(plan.due(start) == std::vector<std::string>{ "10.0.0.2:1" });
+    plan.dialled("10.0.0.2:1", 5);
+    BOOST_TEST(plan.due(start + 1h).empty());
+    plan.closed(5, start);
+    BOOST_TEST(plan.due(start).empty());
+    std::size_t tries = 0;
+    for (Instant now = start; now < start + 10s; now += 10ms) {
+        for (const std::string &address : plan.due(now)) {
+            ++tries;
+            plan.dialled(address, 100 + tries);
+            plan.closed(100 + tries, now);
+        }
+    }
+    BOOST_TEST(tries >= 39U); // four a second, and the short pauses at first
+    BOOST_TEST(tries <= 45U);
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsAnEntryThatNobodyNamesAndThatIsGone)
+{
+    DialPlan plan{ DialPlan::Options() };
+    plan.learn({ "10.0.0.2:1" }, start);
+    BOOST_TEST(plan.due(start + 61s).empty());
+    BOOST_TEST(plan.addresses().empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheContactListHoldsEachEntryOnceAndIsBounded)
+{
+    StoreEntry entry;
+    for (std::size_t number = 0; number < maxEntryContacts + 5; ++number) {
+        const auto swap = addEntryContact(entry, "10.0.0." + std::to_string(number) + ":1");
+        BOOST_REQUIRE(swap.has_value());
+        BOOST_TEST(swap->expectedVersion == entry.version);
+        entry = StoreEntry{ swap->value, entry.version + 1 };
+    }
+    BOOST_TEST(readEntryContacts(entry.value).size() == maxEntryContacts);
+    BOOST_TEST(!addEntryContact(entry, "10.0.0.50:1").has_value());
+    BOOST_TEST(addEntryContact(entry, "10.0.0.0:1").has_value());
+    BOOST_TEST(readEntryContacts("no address\n\n").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/http/tests/sharedlooptest.cpp
@@ -0,0 +1,88 @@
+#include <lagoonroute/http/http.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+using namespace lagoonroute;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** A server and a client on one loop of this thread. */
+struct SharedLoop
+{
+    SharedLoop()
+        : server(loop,
+                 HttpServer::Options().withAddress({ "127.0.0.1", 0 }),
+                 [this](const std::shared_ptr<HttpExchange> &exchange) {
+                     if (exchange->request().target == "/later") {
+                         open = exchange;
+                     } else {
+                         exchange->respond(HttpResponse{ .status = 200, .body = exchange->request().body });
+                     }
+                 })
+        , client(loop)
+    {
+    }
+
+    std::optional<HttpResult> call(const std::string &target, Duration timeout = 5s)
+    {
+        std::optional<HttpResult> result;
+        client.call(server.address(), HttpRequest{ .method = "POST", .target = target, .fields = {}, .body = "body" }, timeout, [&](HttpResult answer) {
+            result = std::move(answer);
+        });
+        while (!result && loop.run_one_for(6s) == 1) { }
+        return result;
+    }
+
+    boost::asio::io_context loop{ 1 };
+    std::shared_ptr<HttpExchange> open;
+    HttpServer server;
+    HttpClient client;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SharedLoopTest)
+
+BOOST_AUTO_TEST_CASE(ServesAndCallsOnTheCallersThread)
+{
+    SharedLoop shared;
+    BOOST_TEST(shared.call("/")->response->body == "body");
+    BOOST_TEST(shared.call("/")->response->body == "body");
+}
+
+BOOST_AUTO_TEST_CASE(ClosingWhatIsIdleLeavesRequestsUnderWay)
+{
+    SharedLoop shared;
+    BOOST_TEST(shared.call("/")->response.has_value()); // leaves an idle connection behind
+    std::optional<HttpResult> later;
+    shared.client.call(shared.server.address(), HttpRequest{ .method = "POST", .target = "/later", .fields = {}, .body = "" }, 5s, [&](HttpResult answer) {
+        later = std::move(answer);
+    });
+    while (!shared.open) {
+        BOOST_REQUIRE(shared.loop.run_one_for(5s) == 1U);
+    }
+    shared.server.closeIdle();
+    shared.open->respond(HttpResponse{ .status = 200, .body = "whole" });
+    while (!later) {
+        BOOST_REQUIRE(shared.loop.run_one_for(5s) == 1U);
+    }
+    BOOST_TEST(later->response->body == "whole");
+    const auto after = shared.call("/");
+    BOOST_TEST(!after->response.has_value());
+    BOOST_TEST(after->isRefused);
+}
+
+BOOST_AUTO_TEST_CASE(TellsASilentServerFromOneThatRefuses)
+{
+    SharedLoop shared;
+    const auto silent = shared.call("/later", 100ms);
+    BOOST_TEST((silent->failure == HttpFailure::TimedOut));
+    BOOST_TEST(!silent->isRefused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/transport/tests/linktest.cpp
@@ -0,0 +1,99 @@
+#include <lagoonroute/transport/transport.h>
+
+#include <lagoonroute/base/errors.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonroute;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<LinkMessage> samples()
+{
+    const DirectTaskId task{ "5c0e", 1, 17 };
+    return { AgentHello{ "agent", "plateau", 4 },
+             AgentOffer{ true, "booking", { 64'000, 1024, 2 }, { "a", "r1" } },
+             AgentRoom{ { 6'000, 12, 0 }, 9 },
+             AgentBeat{ -5 },
+             TaskEnded{ task, 3, RunEnd::Failed, "0b" },
+             StartRefused{ task, 3, StartRefusal::RunTooLow },
+             RunForecast{ task, 3, 900ms, true },
+             EntryHello{ "entry", "10.0.0.1:7000" },
+             EntryEcho{ 77 },
+             StartTasks{ "5c0e", "spec", { TaskStart{ 1, 17, 3, { 500, 64, 0 }, "0b" }, TaskStart{} } },
+             StopTask{ task, 3 },
+             OfferDocument{ 7, "{}" },
+             EntryList{ { "10.0.0.1:7000" } } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LinkTest)
+
+BOOST_AUTO_TEST_CASE(DecodesEveryMessageAndRefusesEveryTruncation)
+{
+    BOOST_TEST(samples().size() == std::variant_size_v<LinkMessage>);
+    for (const LinkMessage &message : samples()) {
+        const std::string bytes = encodeLinkMessage(message);
+        BOOST_TEST((decodeLinkMessage(bytes) == message));
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            BOOST_CHECK_THROW(decodeLinkMessage(std::string_view(bytes).substr(0, size)), MalformedMessage);
+        }
+    }
+    BOOST_CHECK_THROW(decodeLinkMessage(std::string(40, '\x7f')), MalformedMessage);
+}
+
+BOOST_AUTO_TEST_CASE(CarriesMessagesBothWaysAndTellsOfAClose)
+{
+    boost::asio::io_context loop{ 1 };
+    std::vector<LinkMessage> atServer;
+    std::vector<LinkMessage> atClient;
+    bool isClosed = false;
+    LinkEndpoint *server = nullptr;
+    LinkId accepted = 0;
+    constexpr std::uint16_t port = 47'311;
+    LinkEndpoint listening(loop,
+                           NodeAddress{ "127.0.0.1", port },
+                           { [&](LinkId link) {
+                                accepted = link;
+                                server->send(link, AgentBeat{ 1 });
+                            },
+                             [&](LinkId, LinkMessage &&message) { atServer.push_back(std::move(message)); },
+                             [&](LinkId) {},
+                             [] {} });
+    server = &listening;
+    LinkEndpoint dialling(
+        loop,
+        std::nullopt,
+        { [](LinkId) {}, [&](LinkId, LinkMessage &&message) { atClient.push_back(std::move(message)); }, [&](LinkId) { isClosed = true; }, [] {} });
+    const LinkId link = dialling.dial({ "127.0.0.1", port });
+    for (const LinkMessage &message : samples()) {
+        dialling.send(link, message);
+    }
+    while (atServer.size() < samples().size() || atClient.empty()) {
+        BOOST_REQUIRE(loop.run_one_for(5s) == 1U);
+    }
+    BOOST_TEST((atServer == samples()));
+    BOOST_TEST((atClient == std::vector<LinkMessage>{ AgentBeat{ 1 } }));
+    listening.close(accepted);
+    while (!isClosed) {
+        BOOST_REQUIRE(loop.run_one_for(5s) == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ALinkThatCannotBeOpenedIsReportedClosed)
+{
+    boost::asio::io_context loop{ 1 };
+    std::size_t closed = 0;
+    LinkEndpoint dialling(loop, std::nullopt, { [](LinkId) {}, [](LinkId, LinkMessage &&) {}, [&](LinkId) { ++closed; }, [] {} });
+    dialling.dial({ "127.0.0.1", 47'312 });
+    dialling.dial({ "no address", 1 });
+    while (closed < 2) {
+        BOOST_REQUIRE(loop.run_one_for(5s) == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
