--- a/include/lagoonroute/app/agentnode.h
+++ b/include/lagoonroute/app/agentnode.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/app/settings.h>
-#include <lagoonroute/platform/memorystore.h>
+#include <lagoonroute/store/memorystore.h>
 
 #include <memory>
 
--- a/include/lagoonroute/app/dialect.h
+++ b/include/lagoonroute/app/dialect.h
@@ -5,7 +5,7 @@
 #include <lagoonroute/direct/upstreamevents.h>
 #include <lagoonroute/http/httpclient.h>
 #include <lagoonroute/http/httpmessage.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <concepts>
 #include <optional>
--- a/include/lagoonroute/app/dialectstore.h
+++ b/include/lagoonroute/app/dialectstore.h
@@ -2,7 +2,7 @@
 
 #include <lagoonroute/app/dialect.h>
 #include <lagoonroute/http/httpclient.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <functional>
 #include <memory>
--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -11,8 +11,8 @@
 #include <lagoonroute/http/httpclient.h>
 #include <lagoonroute/http/httpserver.h>
 #include <lagoonroute/observation/metrics.h>
-#include <lagoonroute/platform/keyfollower.h>
-#include <lagoonroute/platform/storeclient.h>
+#include <lagoonroute/store/keyfollower.h>
+#include <lagoonroute/store/storeclient.h>
 #include <lagoonroute/transport/linkendpoint.h>
 
 #include <map>
--- a/include/lagoonroute/configuration/configurationevents.h
+++ b/include/lagoonroute/configuration/configurationevents.h
@@ -3,7 +3,7 @@
 #include <lagoonroute/configuration/auditrecord.h>
 #include <lagoonroute/configuration/configurationmessages.h>
 #include <lagoonroute/configuration/servicerules.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <compare>
 #include <string>
--- a/include/lagoonroute/configuration/submitcore.h
+++ b/include/lagoonroute/configuration/submitcore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/configuration/storedconfiguration.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <cstdint>
 #include <memory>
--- a/include/lagoonroute/control/controlcore.h
+++ b/include/lagoonroute/control/controlcore.h
@@ -6,7 +6,7 @@
 #include <lagoonroute/membership/contactcore.h>
 #include <lagoonroute/membership/membershipcore.h>
 #include <lagoonroute/membership/viewcore.h>
-#include <lagoonroute/platform/storeclientcore.h>
+#include <lagoonroute/store/storeclientcore.h>
 
 #include <map>
 #include <optional>
--- a/include/lagoonroute/control/controlevents.h
+++ b/include/lagoonroute/control/controlevents.h
@@ -4,7 +4,7 @@
 #include <lagoonroute/dispatch/events.h>
 #include <lagoonroute/membership/membershipevents.h>
 #include <lagoonroute/membership/viewcore.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <variant>
 #include <vector>
--- a/include/lagoonroute/http/httpstore.h
+++ b/include/lagoonroute/http/httpstore.h
@@ -2,7 +2,7 @@
 
 #include <lagoonroute/base/boundedring.h>
 #include <lagoonroute/http/httpclient.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <cstddef>
 
--- a/include/lagoonroute/http/storeprotocol.h
+++ b/include/lagoonroute/http/storeprotocol.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/http/httpmessage.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <string>
 #include <string_view>
--- a/include/lagoonroute/membership/viewcore.h
+++ b/include/lagoonroute/membership/viewcore.h
@@ -2,7 +2,7 @@
 
 #include <lagoonroute/base/time.h>
 #include <lagoonroute/membership/membershipevents.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <cstdint>
 #include <map>
--- a/include/lagoonroute/platform/circuitbreaker.h
+++ b/include/lagoonroute/store/circuitbreaker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/base/time.h>
-#include <lagoonroute/platform/backoff.h>
+#include <lagoonroute/store/backoff.h>
 
 #include <cstdint>
 #include <memory>
--- a/include/lagoonroute/platform/keyfollower.h
+++ b/include/lagoonroute/store/keyfollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <lagoonroute/platform/backoff.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/backoff.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <optional>
 #include <string>
--- a/include/lagoonroute/platform/markedswap.h
+++ b/include/lagoonroute/store/markedswap.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <cstdint>
 #include <optional>
--- a/include/lagoonroute/platform/memorystore.h
+++ b/include/lagoonroute/store/memorystore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/base/wakesignal.h>
-#include <lagoonroute/platform/storemodel.h>
+#include <lagoonroute/store/storemodel.h>
 
 #include <functional>
 #include <map>
--- a/include/lagoonroute/platform/storeclient.h
+++ b/include/lagoonroute/store/storeclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <lagoonroute/platform/storeclientcore.h>
+#include <lagoonroute/store/storeclientcore.h>
 
 #include <algorithm>
 #include <optional>
--- a/include/lagoonroute/platform/storeclientcore.h
+++ b/include/lagoonroute/store/storeclientcore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <lagoonroute/platform/circuitbreaker.h>
-#include <lagoonroute/platform/storeport.h>
-#include <lagoonroute/platform/tokenbucket.h>
+#include <lagoonroute/store/circuitbreaker.h>
+#include <lagoonroute/store/storeport.h>
+#include <lagoonroute/store/tokenbucket.h>
 
 #include <array>
 #include <cstdint>
--- a/modules/app/controlports.h
+++ b/modules/app/controlports.h
@@ -3,7 +3,7 @@
 #include <lagoonroute/app/settings.h>
 #include <lagoonroute/control/controlcore.h>
 #include <lagoonroute/http/httpstore.h>
-#include <lagoonroute/platform/memorystore.h>
+#include <lagoonroute/store/memorystore.h>
 #include <lagoonroute/transport/gossiptransport.h>
 #include <lagoonroute/transport/peertransport.h>
 
--- a/modules/app/solo.cpp
+++ b/modules/app/solo.cpp
@@ -7,7 +7,7 @@
 #include <lagoonroute/app/sampleupstream.h>
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/configuration/storedconfiguration.h>
-#include <lagoonroute/platform/memorystore.h>
+#include <lagoonroute/store/memorystore.h>
 
 #include <iostream>
 #include <memory>
--- a/modules/app/tests/waitingstoretest.cpp
+++ b/modules/app/tests/waitingstoretest.cpp
@@ -1,7 +1,7 @@
 #include "waitingstore.h"
 
 #include <lagoonroute/configuration/submitcore.h>
-#include <lagoonroute/platform/memorystore.h>
+#include <lagoonroute/store/memorystore.h>
 
 #include <boost/test/unit_test.hpp>
 
--- a/modules/app/waitingstore.h
+++ b/modules/app/waitingstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/base/wakesignal.h>
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <algorithm>
 #include <optional>
--- a/modules/configuration/tests/fakestore.h
+++ b/modules/configuration/tests/fakestore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <lagoonroute/platform/storeport.h>
+#include <lagoonroute/store/storeport.h>
 
 #include <map>
 #include <string>
--- a/modules/membership/contactcore.cpp
+++ b/modules/membership/contactcore.cpp
@@ -1,7 +1,7 @@
 #include <lagoonroute/membership/contactcore.h>
 
 #include <lagoonroute/membership/memberchoice.h>
-#include <lagoonroute/platform/backoff.h>
+#include <lagoonroute/store/backoff.h>
 
 #include <boost/json.hpp>
 
--- a/modules/membership/tests/contactcoretest.cpp
+++ b/modules/membership/tests/contactcoretest.cpp
@@ -1,7 +1,7 @@
 #include "cellfixture.h"
 
 #include <lagoonroute/membership/contactcore.h>
-#include <lagoonroute/platform/storemodel.h>
+#include <lagoonroute/store/storemodel.h>
 
 #include <boost/test/unit_test.hpp>
 
--- a/modules/membership/tests/viewfixture.h
+++ b/modules/membership/tests/viewfixture.h
@@ -4,8 +4,8 @@
 
 #include <lagoonroute/membership/viewcore.h>
 #include <lagoonroute/membership/viewtable.h>
-#include <lagoonroute/platform/storeclientcore.h>
-#include <lagoonroute/platform/storemodel.h>
+#include <lagoonroute/store/storeclientcore.h>
+#include <lagoonroute/store/storemodel.h>
 
 #include <map>
 #include <memory>
--- a/modules/membership/viewcore.cpp
+++ b/modules/membership/viewcore.cpp
@@ -5,8 +5,8 @@
 
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/membership/viewtable.h>
-#include <lagoonroute/platform/backoff.h>
-#include <lagoonroute/platform/markedswap.h>
+#include <lagoonroute/store/backoff.h>
+#include <lagoonroute/store/markedswap.h>
 
 #include <algorithm>
 #include <utility>
--- a/modules/platform/circuitbreaker.cpp
+++ b/modules/store/circuitbreaker.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/circuitbreaker.h>
+#include <lagoonroute/store/circuitbreaker.h>
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
--- a/modules/platform/markedswap.cpp
+++ b/modules/store/markedswap.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/markedswap.h>
+#include <lagoonroute/store/markedswap.h>
 
 #include <utility>
 
--- a/modules/platform/memorystore.cpp
+++ b/modules/store/memorystore.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/memorystore.h>
+#include <lagoonroute/store/memorystore.h>
 
 #include <utility>
 
--- a/modules/platform/storeclientcore.cpp
+++ b/modules/store/storeclientcore.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/storeclientcore.h>
+#include <lagoonroute/store/storeclientcore.h>
 
 #include <algorithm>
 
--- a/modules/platform/storemodel.cpp
+++ b/modules/store/storemodel.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/storemodel.h>
+#include <lagoonroute/store/storemodel.h>
 
 #include <algorithm>
 #include <utility>
--- a/modules/platform/tests/keyfollowertest.cpp
+++ b/modules/store/tests/keyfollowertest.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/keyfollower.h>
+#include <lagoonroute/store/keyfollower.h>
 
 #include <boost/test/unit_test.hpp>
 
--- a/modules/platform/tests/storeclienttest.cpp
+++ b/modules/store/tests/storeclienttest.cpp
@@ -1,4 +1,4 @@
-#include <lagoonroute/platform/platform.h>
+#include <lagoonroute/store/store.h>
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/standins/store/standinstore.h
+++ b/tests/standins/store/standinstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/http/httpserver.h>
-#include <lagoonroute/platform/storemodel.h>
+#include <lagoonroute/store/storemodel.h>
 
 #include <atomic>
 #include <map>
--- a/tests/standins/store/standinstoretest.cpp
+++ b/tests/standins/store/standinstoretest.cpp
@@ -3,7 +3,7 @@
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/http/httpstore.h>
 #include <lagoonroute/http/storeprotocol.h>
-#include <lagoonroute/platform/markedswap.h>
+#include <lagoonroute/store/markedswap.h>
 
 #include <boost/test/unit_test.hpp>
 
