Unanswered orders are replaced within 50 ms instead of 260 ms

Change: orders on the same host time out after 40 ms (a round trip takes less than one), the list is read at once after a confirmed stop, single lost looks close nothing. Test: AStartWithoutAnAnswerIsReplacedWithinMoments (fails with 200 ms).

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -88,8 +88,8 @@
     static constexpr std::uint64_t contactsCall = 1;
     /** Without an entry for so long, the store is asked for others. */
     static constexpr Duration lonelyTime = std::chrono::milliseconds(1000);
-    /** For the answer of the upstream, which runs on the same host. */
-    static constexpr Duration orderTime = std::chrono::milliseconds(200);
+    /** For the answer to a look that waits, beyond its wait. */
+    static constexpr Duration waitMargin = std::chrono::milliseconds(200);
 
     static WallTime timeOfDay()
     {
@@ -185,7 +185,7 @@
     void order(const OrderStart &start)
     {
         m_metrics.counter("lagoonroute_orders_total", { { "order", "start" } }).add();
-        m_client.call(m_upstream, D::order(start), orderTime, [this, task = start.task, run = start.run](const HttpResult &result) {
+        m_client.call(m_upstream, D::order(start), UpstreamCore::Options().orderTimeout, [this, task = start.task, run = start.run](const HttpResult &result) {
             m_core.handle(StartAnswered{ task, run, D::orderResult(result) }, m_loop.enter(), m_actions);
             m_loop.requestTurn();
         });
@@ -194,21 +194,27 @@
     void order(const OrderStop &stopOrder)
     {
         m_metrics.counter("lagoonroute_orders_total", { { "order", "stop" } }).add();
-        m_client.call(m_upstream, D::order(stopOrder), orderTime, [this, task = stopOrder.task, run = stopOrder.run](const HttpResult &result) {
-            m_core.handle(StopAnswered{ task, run, D::orderResult(result) }, m_loop.enter(), m_actions);
-            m_loop.requestTurn();
-        });
+        m_client.call(m_upstream,
+                      D::order(stopOrder),
+                      UpstreamCore::Options().orderTimeout,
+                      [this, task = stopOrder.task, run = stopOrder.run](const HttpResult &result) {
+                          m_core.handle(StopAnswered{ task, run, D::orderResult(result) }, m_loop.enter(), m_actions);
+                          m_loop.requestTurn();
+                      });
     }
 
     void order(const OrderLook &look)
     {
         m_metrics.counter("lagoonroute_orders_total", { { "order", "look" } }).add();
-        m_client.call(m_upstream, D::order(look), look.wait + orderTime, [this, number = look.look](const HttpResult &result) {
-            LookAnswered answer = D::lookAnswer(result);
-            answer.look = number;
-            m_core.handle(answer, m_loop.enter(), m_actions);
-            m_loop.requestTurn();
-        });
+        m_client.call(m_upstream,
+                      D::order(look),
+                      look.wait > Duration(0) ? look.wait + waitMargin : UpstreamCore::Options().orderTimeout,
+                      [this, number = look.look](const HttpResult &result) {
+                          LookAnswered answer = D::lookAnswer(result);
+                          answer.look = number;
+                          m_core.handle(answer, m_loop.enter(), m_actions);
+                          m_loop.requestTurn();
+                      });
     }
 
     void stop(Instant now)
--- a/modules/direct/tests/directtest.cpp
+++ b/modules/direct/tests/directtest.cpp
@@ -373,6 +373,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AStartWithoutAnAnswerIsReplacedWithinMoments)
+{
+    Deployment deployment;
+    deployment.simulation.loseOrders(1, true, 5ms);
+    const std::size_t position = deployment.simulation.submit(0, "reprice", deployment.job(2, 200ms), 200ms, 3s);
+    deployment.simulation.runFor(2s);
+    const DirectSimulation::Submission &submission = deployment.submission(position);
+    BOOST_TEST((submission.answer.verdict == DirectVerdict::Completed));
+    // The objective is 380 ms on a sound upstream; the slowest one takes 250 ms.
+    BOOST_TEST((*submission.answeredAt - submission.at <= submission.objective));
+    deployment.simulation.runFor(12s);
+    deployment.checkNoViolation();
+}
+
 BOOST_AUTO_TEST_CASE(AFailingUpstreamIsLeftAloneAndPoisonDoesNotBlameSoundOnes)
 {
     Deployment deployment;
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -22,11 +22,11 @@
 /** Time that an upstream takes to stop a run, with room for its answer. */
 constexpr Duration stopTime = 60ms;
 /** Pause before a stop without an answer is sent again. */
-constexpr Duration stopRetry = 50ms;
+constexpr Duration stopRetry = 10ms;
 /** By which a refused token is raised first, in milliseconds of the time of day; it doubles with each refusal. */
 constexpr std::uint64_t firstTokenStep = 1000;
-/** Looks in a row without an answer before the upstream counts as silent: one answer may be lost. */
-constexpr std::uint32_t tolerableFailedLooks = 1;
+/** Looks in a row without an answer before the upstream counts as silent: single answers may be lost. */
+constexpr std::uint32_t tolerableFailedLooks = 2;
 /** Answers to two looks may overtake each other by this much, a look's own time-out. */
 constexpr Duration staleListTime = 300ms;
 /** A link that says nothing after it was opened is closed. */
@@ -383,7 +383,8 @@
         run.phase = RunPhase::Confirmed;
         run.phaseLook = m_lastLook;
         run.changed = now;
-        lookSoon(now, stopTime);
+        // A run that never began is over at once; one that is being stopped is listed until it is.
+        lookSoon(now, 0ms);
     } else {
         if (answer.result == OrderResult::FenceTooLow) {
             beginFencing(now, actions);
