An agent keeps its upstream's report in the store for its next life

Change: KeptValue writes the report once a life of the upstream; a new life of the agent takes it up if the upstream's list shows the same birth.

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -11,8 +11,10 @@
 #include <lagoonroute/http/httpclient.h>
 #include <lagoonroute/http/httpserver.h>
 #include <lagoonroute/observation/metrics.h>
+#include <lagoonroute/store/keptvalue.h>
 #include <lagoonroute/store/keyfollower.h>
 #include <lagoonroute/store/storeclient.h>
+#include <lagoonroute/transport/linkcodec.h>
 #include <lagoonroute/transport/linkendpoint.h>
 
 #include <memory>
@@ -46,6 +48,7 @@
         , m_plan(DialPlan::Options())
         , m_contactsFollower(KeyFollower::Options().withKey(entryContactsKey, StorePurpose::Contact).withSeed(NodeId::fromName(m_settings.node).value),
                              contactsCall)
+        , m_keptReport("lagoonroute/upstreams/" + m_settings.node, StorePurpose::Contact, keptCall, NodeId::fromName(m_settings.node).value + 1)
         , m_client(m_loop.context())
         , m_storePort(m_client, addressFromText(m_settings.store), [this] { m_loop.requestTurn(); })
         , m_store(StoreClientCore::Options().withReads(2, 4).withSeed(NodeId::fromName(m_settings.node).value), m_storePort)
@@ -86,6 +89,7 @@
 
 private:
     static constexpr std::uint64_t contactsCall = 1;
+    static constexpr std::uint64_t keptCall = 2;
     /** Without an entry for so long, the store is asked for others. */
     static constexpr Duration lonelyTime = std::chrono::milliseconds(1000);
     /** For the answer to a look that waits, beyond its wait. */
@@ -98,6 +102,7 @@
 
     std::optional<Instant> turn(Instant now)
     {
+        followStore(now);
         seekEntries(now);
         for (const std::string &address : m_plan.due(now)) {
             m_plan.dialled(address, m_links.dial(addressFromText(address)));
@@ -108,20 +113,41 @@
             m_loop.finish();
         }
         std::optional<Instant> wake = m_core.nextWake();
-        for (const auto &other : { m_plan.nextWake(), m_store.nextWake() }) {
+        for (const auto &other : { m_plan.nextWake(), m_store.nextWake(), m_keptReport.nextWake() }) {
             wake = !other ? wake : (!wake ? other : std::min(*wake, *other));
         }
         return wake;
     }
 
-    /** Asks the store for entries, but only while none is reached, so that its load does not grow with the agents. */
-    void seekEntries(Instant now)
+    void followStore(Instant now)
     {
         m_store.drain(now, [this, now](const StoreReply &reply) {
-            if (const auto entry = m_contactsFollower.handle(reply, now)) {
-                m_plan.learn(readEntryContacts(entry->value), now);
+            if (reply.number == contactsCall) {
+                if (const auto entry = m_contactsFollower.handle(reply, now)) {
+                    m_plan.learn(readEntryContacts(entry->value), now);
+                }
+            } else if (const auto value = m_keptReport.handle(reply, now)) {
+                recall(*value, now);
             }
         });
+        if (const auto call = m_keptReport.next(now)) {
+            m_store.submit(*call, now);
+        }
+    }
+
+    /** Takes up what an earlier life of this process knew of the upstream. */
+    void recall(const std::string &value, Instant now)
+    {
+        try {
+            m_core.recall(decodeUpstreamReport(value), now, m_actions);
+        } catch (const MalformedMessage &error) {
+            logLine(LogLevel::Warning, "kept-report-unreadable", { { "fault", error.what() } });
+        }
+    }
+
+    /** Asks the store for entries, but only while none is reached, so that its load does not grow with the agents. */
+    void seekEntries(Instant now)
+    {
         if (m_core.entries() > 0) {
             m_lastEntryAt = now;
             return;
@@ -175,6 +201,8 @@
                 order(*stopOrder);
             } else if (auto *look = std::get_if<OrderLook>(&action)) {
                 order(*look);
+            } else if (auto *keep = std::get_if<KeepReport>(&action)) {
+                m_keptReport.set(encodeUpstreamReport(keep->report));
             } else {
                 logDecision(std::get<DecisionNote>(action));
             }
@@ -255,6 +283,7 @@
     UpstreamCore m_core;
     DialPlan m_plan;
     KeyFollower m_contactsFollower;
+    KeptValue m_keptReport;
     HttpClient m_client;
     DialectStore<D> m_storePort;
     StoreClient<DialectStore<D>> m_store;
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -51,6 +51,12 @@
     void handle(const StopAnswered &answer, Instant now, UpstreamActions &actions);
     void handle(const LookAnswered &answer, Instant now, UpstreamActions &actions);
 
+    /**
+     * A report that an earlier life of the agent has kept. It holds if the upstream's own list shows the same life, so that
+     * work goes on before the upstream reports again.
+     */
+    void recall(const UpstreamReport &kept, Instant now, UpstreamActions &actions);
+
     /** A link to an entry is open. */
     void openLink(LinkId link, Instant now, UpstreamActions &actions);
 
@@ -161,6 +167,7 @@
     void recheckRuns(Instant now, UpstreamActions &actions);
     void adopt(const UpstreamReport &report, Instant now, UpstreamActions &actions);
     void meetLife(std::int64_t born, Instant now, UpstreamActions &actions);
+    void useRecalled(Instant now, UpstreamActions &actions);
     void lookSoon(Instant now, Duration delay);
     [[nodiscard]] bool looksWait() const;
     [[nodiscard]] bool mayGreet(const Link &link, LinkId linkId, Instant now) const;
@@ -190,6 +197,8 @@
     std::uint32_t m_failedLooks = 0; // in a row
     Instant m_lookedAt; // last answer to a look
     std::optional<Instant> m_startedAt; // first elapse() of this process
+    std::optional<UpstreamReport> m_recalled; // by an earlier life of the agent, not yet seen in a list
+    UpstreamReport m_kept; // as last given out to be kept
     std::optional<UpstreamReport> m_otherLife; // reported, and not yet seen in a list
     std::uint32_t m_strays = 0; // runs in the last list that nobody here started
     std::map<DirectTaskId, Run> m_runs;
--- a/include/lagoonroute/direct/upstreamevents.h
+++ b/include/lagoonroute/direct/upstreamevents.h
@@ -168,6 +168,14 @@
     auto operator<=>(const CloseLink &) const = default;
 };
 
+/** Keep an upstream's report for the agent's next life. */
+struct KeepReport
+{
+    UpstreamReport report;
+
+    auto operator<=>(const KeepReport &) const = default;
+};
+
 /** What a core wants the log to say. */
 struct DecisionNote
 {
@@ -180,7 +188,7 @@
 };
 
 /** What UpstreamCore asks for. */
-using UpstreamAction = std::variant<OrderStart, OrderStop, OrderLook, SendOnLink, CloseLink, DecisionNote>;
+using UpstreamAction = std::variant<OrderStart, OrderStop, OrderLook, SendOnLink, CloseLink, KeepReport, DecisionNote>;
 
 /** Actions of one step, in order. */
 using UpstreamActions = std::vector<UpstreamAction>;
--- a/include/lagoonroute/transport/linkcodec.h
+++ b/include/lagoonroute/transport/linkcodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lagoonroute/direct/linkmessages.h>
+#include <lagoonroute/direct/upstreamevents.h>
 
 #include <string>
 #include <string_view>
@@ -17,4 +18,10 @@
 /** Returns the message in the bytes. Throws MalformedMessage when there is none, or of another version. */
 LinkMessage decodeLinkMessage(std::string_view bytes);
 
+/** Returns the bytes of an upstream's report, for the agent's next life. */
+std::string encodeUpstreamReport(const UpstreamReport &report);
+
+/** Returns the report in the bytes. Throws MalformedMessage when there is none, or of another version. */
+UpstreamReport decodeUpstreamReport(std::string_view bytes);
+
 } // namespace lagoonroute
--- a/modules/direct/tests/directsimulation.cpp
+++ b/modules/direct/tests/directsimulation.cpp
@@ -15,6 +15,7 @@
 const Duration orderTimeout = UpstreamCore::Options().orderTimeout;
 constexpr Duration waitMargin = 200ms;
 constexpr Duration redialPause = 100ms;
+constexpr Duration storeTime = 5ms;
 
 } // namespace
 
@@ -120,6 +121,14 @@
                                                    .withNode("agent-" + std::to_string(agent), "plateau", host.life)
                                                    .withFirstToken(static_cast<std::uint64_t>(m_now.time_since_epoch().count() / 1000)));
     wakeAgent(agent);
+    if (host.kept) {
+        after(storeTime, [this, agent, life = host.life, kept = *host.kept] {
+            onNode(m_agents[agent], life, [this, agent, kept] {
+                m_agents[agent].core->recall(kept, m_now, m_agents[agent].actions);
+                actAgent(agent);
+            });
+        });
+    }
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
         dial(agent, entry, host.life);
     }
@@ -261,6 +270,8 @@
             order(agent, *stop);
         } else if (const auto *look = std::get_if<OrderLook>(&action)) {
             order(agent, *look);
+        } else if (const auto *keep = std::get_if<KeepReport>(&action)) {
+            host.kept = keep->report;
         } else if (const auto *note = std::get_if<DecisionNote>(&action)) {
             ++m_notes[note->event];
         }
--- a/modules/direct/tests/directsimulation.h
+++ b/modules/direct/tests/directsimulation.h
@@ -147,6 +147,7 @@
         bool isUpstreamUp = true;
         bool isDraining = false;
         std::uint64_t reports = 0;
+        std::optional<UpstreamReport> kept; // in the store
         std::optional<Instant> upstreamWake;
         struct WaitingLook
         {
--- a/modules/direct/tests/directtest.cpp
+++ b/modules/direct/tests/directtest.cpp
@@ -200,6 +200,24 @@
     deployment.checkNoViolation();
 }
 
+BOOST_AUTO_TEST_CASE(ARestartedAgentServesBeforeItsUpstreamReportsAgain)
+{
+    Deployment deployment;
+    for (std::size_t agent = 0; agent < 11; ++agent) {
+        deployment.simulation.killAgent(agent, 100ms);
+    }
+    deployment.simulation.runFor(300ms);
+    for (std::size_t agent = 0; agent < 11; ++agent) {
+        BOOST_TEST(deployment.simulation.agentCore(agent).isOpen(), "agent " << agent);
+    }
+    // A report of an earlier life of the upstream does not hold.
+    deployment.simulation.killAgent(3, 100ms);
+    deployment.simulation.crashUpstream(3, 50ms);
+    deployment.simulation.runFor(3s);
+    BOOST_TEST(deployment.simulation.agentCore(3).isOpen());
+    deployment.checkNoViolation();
+}
+
 BOOST_AUTO_TEST_CASE(ACutLinkLeadsToARunElsewhereOnlyWhenTheFirstIsOver)
 {
     Deployment deployment;
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -99,6 +99,12 @@
         note(actions, "upstream-report", report.id, report.isDraining ? "draining" : "ready");
     }
     m_report = report;
+    UpstreamReport kept = report;
+    kept.sequence = 0; // a next life takes every report that follows
+    if (report.born != 0 && kept != m_kept) {
+        m_kept = kept;
+        actions.emplace_back(KeepReport{ kept });
+    }
     m_hasReport = true;
     m_reportedAt = now;
     roomHasChanged();
@@ -107,6 +113,25 @@
     }
 }
 
+void UpstreamCore::recall(const UpstreamReport &kept, Instant now, UpstreamActions &actions)
+{
+    m_recalled = kept;
+    useRecalled(now, actions);
+    elapse(now, actions);
+}
+
+void UpstreamCore::useRecalled(Instant now, UpstreamActions &actions)
+{
+    if (!m_recalled || m_born == 0) {
+        return;
+    }
+    const UpstreamReport kept = *std::exchange(m_recalled, std::nullopt);
+    if (!m_hasReport && kept.born == m_born) {
+        m_kept = kept;
+        adopt(kept, now, actions);
+    }
+}
+
 void UpstreamCore::handle(const UpstreamLeft &left, Instant now, UpstreamActions &actions)
 {
     if (!m_hasReport || left.id != m_report.id) {
@@ -216,6 +241,7 @@
         }
     }
     m_otherLife.reset();
+    useRecalled(now, actions);
     takeEnds(answer, now, actions);
     takeRunning(answer, now, actions);
     if (m_phase == Phase::Fencing) {
--- a/modules/transport/linkcodec.cpp
+++ b/modules/transport/linkcodec.cpp
@@ -103,15 +103,26 @@
     archive(value.addresses);
 }
 
-std::string encodeLinkMessage(const LinkMessage &message)
+template <class Archive>
+void serialize(Archive &archive, UpstreamReport &value)
+{
+    archive(value.id, value.born, value.sequence, value.service, value.zone, value.capacity, value.labels, value.isDraining);
+}
+
+namespace
+{
+
+template <typename T>
+std::string encoded(const T &value)
 {
     std::string bytes;
     MessageOutputArchive archive(bytes);
-    archive(linkProtocolVersion, message);
+    archive(linkProtocolVersion, value);
     return bytes;
 }
 
-LinkMessage decodeLinkMessage(std::string_view bytes)
+template <typename T>
+T decoded(std::string_view bytes)
 {
     try {
         MessageInputArchive archive(bytes);
@@ -120,12 +131,34 @@
         if (version != linkProtocolVersion) {
             throw MalformedMessage("link message has protocol version " + std::to_string(version));
         }
-        LinkMessage message;
-        archive(message);
-        return message;
+        T value;
+        archive(value);
+        return value;
     } catch (const cereal::Exception &error) {
         throw MalformedMessage(error.what());
     }
 }
 
+} // namespace
+
+std::string encodeLinkMessage(const LinkMessage &message)
+{
+    return encoded(message);
+}
+
+std::string encodeUpstreamReport(const UpstreamReport &report)
+{
+    return encoded(report);
+}
+
+UpstreamReport decodeUpstreamReport(std::string_view bytes)
+{
+    return decoded<UpstreamReport>(bytes);
+}
+
+LinkMessage decodeLinkMessage(std::string_view bytes)
+{
+    return decoded<LinkMessage>(bytes);
+}
+
 } // namespace lagoonroute
