--- /dev/null
+++ b/benchmarks/tests/directboundstest.cpp
@@ -0,0 +1,52 @@
+#include "patterns.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonroute::bench;
+
+namespace
+{
+
+constexpr std::uint64_t seeds = 2;
+
+/** Checks that every pattern earns the share of what the ideal earns, over all seeds together. */
+void checkAgainstIdeal(bool hasFaults, double share)
+{
+    for (const DirectPattern &pattern : directPatterns()) {
+        if (pattern.hasFaults != hasFaults) {
+            continue;
+        }
+        double direct = 0;
+        double ideal = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            direct += playDirect(pattern, seed).credit;
+            ideal += playIdeal(pattern, seed).credit;
+        }
+        BOOST_TEST(direct >= share * ideal, pattern.name << ": credit " << direct / seeds << " against " << ideal / seeds);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DirectBoundsTest)
+
+BOOST_AUTO_TEST_CASE(PatternsWithoutFaultsStayNearTheIdeal)
+{
+    checkAgainstIdeal(false, 0.95);
+}
+
+BOOST_AUTO_TEST_CASE(PatternsWithFaultsStayNearTheIdeal)
+{
+    checkAgainstIdeal(true, 0.85);
+}
+
+BOOST_AUTO_TEST_CASE(NoPatternBreaksAPromise)
+{
+    for (const DirectPattern &pattern : directPatterns()) {
+        for (const std::string &violation : playDirect(pattern, 3).violations) {
+            BOOST_ERROR(pattern.name << ": " << violation);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/direct/tests/directsimulation.cpp
+++ b/modules/direct/tests/directsimulation.cpp
@@ -487,6 +487,7 @@
     m_jobs[job.id] = job;
     const auto rule = std::find_if(m_rules.begin(), m_rules.end(), [&](const RouteRule &other) { return other.name == route; });
     Submission submission{ .job = job.id, .route = route, .entry = entry, .at = m_now, .work = work };
+    submission.isPoison = alwaysFails;
     submission.objective = Duration(static_cast<Duration::rep>(rule->stretch * static_cast<double>(work.count()))) + rule->targetLatency;
     for (const DirectStep &step : job.steps) {
         submission.tasks += step.count;
@@ -514,6 +515,7 @@
 void DirectSimulation::leave(std::size_t submission)
 {
     const std::size_t entry = m_submissions[submission].entry;
+    m_submissions[submission].hasLeft = true;
     onNode(m_entries[entry], m_entries[entry].life, [this, entry, submission] {
         m_entries[entry].core->requestClosed(submission + 1, m_now, m_entries[entry].actions);
         actEntry(entry);
--- a/modules/direct/tests/directsimulation.h
+++ b/modules/direct/tests/directsimulation.h
@@ -53,6 +53,8 @@
         std::optional<Instant> answeredAt;
         DirectAnswer answer;
         Duration objective{ 0 };
+        bool isPoison = false; /**< Its tasks always fail. */
+        bool hasLeft = false; /**< Its client account closed the connection. */
     };
 
     explicit DirectSimulation(Options options);
