--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -92,6 +92,8 @@
     static constexpr std::uint64_t keptCall = 2;
     /** Without an entry for so long, the store is asked for others. */
     static constexpr Duration lonelyTime = std::chrono::milliseconds(1000);
+    /** Between the last end and the end of the process, for its message to leave and for the upstream to be told that it was seen. */
+    static constexpr Duration lingerTime = std::chrono::milliseconds(150);
     /** For the answer to a look that waits, beyond its wait. */
     static constexpr Duration waitMargin = std::chrono::milliseconds(200);
 
@@ -109,7 +111,11 @@
         }
         m_core.elapse(now, m_actions);
         carryOut(now);
-        if (m_stopAt && (m_core.runs() == 0 || now >= *m_stopAt + m_settings.drainLimit)) {
+        if (m_core.runs() > 0 || !m_idleSince) {
+            m_idleSince = now;
+        }
+        const bool isDrained = m_core.runs() == 0 && now >= *m_idleSince + lingerTime;
+        if (m_stopAt && (isDrained || now >= *m_stopAt + m_settings.drainLimit)) {
             m_loop.finish();
         }
         std::optional<Instant> wake = m_core.nextWake();
@@ -288,6 +294,7 @@
     DialectStore<D> m_storePort;
     StoreClient<DialectStore<D>> m_store;
     std::optional<Instant> m_stopAt;
+    std::optional<Instant> m_idleSince; // without a run
     Instant m_lastEntryAt;
     LinkEndpoint m_links;
     HttpServer m_announce;
