--- a/modules/app/tests/settingstest.cpp
+++ b/modules/app/tests/settingstest.cpp
@@ -51,6 +51,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AFaultIsReportedOnceAndALongValueIsCut)
+{
+    const std::string text
+        = R"({"node": ")" + std::string(10'000'000, 'A') + R"(", "peer": {"ip": "127.0.0.1", "port": 70000}, "http": {"ip": "127.0.0.1", "port": 1}})";
+    try {
+        Settings::fromText(text, "test.json");
+        BOOST_FAIL("the faults were not found");
+    } catch (const InvalidDocument &error) {
+        const std::string message = error.what();
+        BOOST_TEST(message.size() < 1000U);
+        const std::size_t first = message.find("/peer/port");
+        BOOST_TEST(first != std::string::npos);
+        BOOST_TEST(message.find("/peer/port", first + 1) == std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(MissingAddressesAreFaults)
 {
     BOOST_CHECK_THROW(Settings::fromText(R"({"node": "a"})", "test.json"), InvalidDocument);
--- a/modules/configuration/checkfault.cpp
+++ b/modules/configuration/checkfault.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** Of a value in a message; a longer one is cut, since it would fill the log. */
+constexpr std::size_t maxShownValueBytes = 200;
+
 std::string lines(const std::vector<CheckFault> &faults)
 {
     std::string text;
@@ -22,7 +25,11 @@
 
 std::string CheckFault::toString() const
 {
-    return (place.empty() ? "/" : place) + ": found " + value + ", allowed " + allowed;
+    std::string shown = value;
+    if (shown.size() > maxShownValueBytes) {
+        shown = shown.substr(0, maxShownValueBytes) + "... (" + std::to_string(value.size()) + " bytes)";
+    }
+    return (place.empty() ? "/" : place) + ": found " + shown + ", allowed " + allowed;
 }
 
 InvalidConfiguration::InvalidConfiguration(std::vector<CheckFault> faults)
--- a/modules/configuration/documentreader.cpp
+++ b/modules/configuration/documentreader.cpp
@@ -1,6 +1,6 @@
 #include "documentreader.h"
 
-#include "repeatedfields.h"
+#include <lagoonroute/configuration/repeatedfields.h>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
--- a/modules/configuration/documentreader.h
+++ b/modules/configuration/documentreader.h
@@ -7,7 +7,9 @@
 
 #include <boost/json/value.hpp>
 
+#include <algorithm>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lagoonroute
@@ -36,7 +38,16 @@
     FieldReader reader(document.get_object(), "", result.faults);
     FieldsOf<T>::visit(result.value, reader);
     reader.finish();
-    checkValue("", result.value, result.faults);
+    // A field that could not be read keeps its default, which is no fault of its own.
+    std::vector<CheckFault> checked;
+    checkValue("", result.value, checked);
+    for (CheckFault &fault : checked) {
+        const bool isKnown = std::any_of(
+            result.faults.begin(), result.faults.end(), [&](const CheckFault &known) { return known.place == fault.place && known.allowed == fault.allowed; });
+        if (!isKnown) {
+            result.faults.push_back(std::move(fault));
+        }
+    }
     return result;
 }
 
--- a/modules/configuration/repeatedfields.cpp
+++ b/modules/configuration/repeatedfields.cpp
@@ -1,4 +1,4 @@
-#include "repeatedfields.h"
+#include <lagoonroute/configuration/repeatedfields.h>
 
 #include "fieldchecker.h"
 
--- a/modules/http/callerjson.cpp
+++ b/modules/http/callerjson.cpp
@@ -3,6 +3,7 @@
 #include "submissionkey.h"
 
 #include <lagoonroute/base/errors.h>
+#include <lagoonroute/configuration/repeatedfields.h>
 
 #include <boost/json.hpp>
 
@@ -152,6 +153,10 @@
     if (!document.is_object()) {
         throw InvalidDocument("the body must be a JSON object");
     }
+    // A repeated member, such as "idempotent", would leave open which of its values the caller meant.
+    if (const std::vector<CheckFault> repeated = repeatedFields(request.body); !repeated.empty()) {
+        throw InvalidDocument("the body has a repeated member: " + repeated.front().place);
+    }
     CallerSubmission submission;
     submission.key = findSubmissionKey(rules.keyRules(), request, document);
     submission.job = parseJob(document.get_object(), rules);
--- a/modules/http/tests/sharedlooptest.cpp
+++ b/modules/http/tests/sharedlooptest.cpp
@@ -1,5 +1,7 @@
 #include <lagoonroute/http/http.h>
 
+#include <lagoonroute/base/errors.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -77,6 +79,18 @@
     BOOST_TEST(after->isRefused);
 }
 
+BOOST_AUTO_TEST_CASE(ATakenAddressIsNamedWithoutThePathOfALibrary)
+{
+    SharedLoop shared;
+    try {
+        const HttpServer second(shared.loop, HttpServer::Options().withAddress(shared.server.address()), [](const std::shared_ptr<HttpExchange> &) {});
+        BOOST_FAIL("the address was taken twice");
+    } catch (const NetworkError &error) {
+        BOOST_TEST(std::string(error.what()).find("127.0.0.1:") != std::string::npos);
+        BOOST_TEST(std::string(error.what()).find("/usr") == std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(TellsASilentServerFromOneThatRefuses)
 {
     SharedLoop shared;
--- a/modules/http/tests/submissiontest.cpp
+++ b/modules/http/tests/submissiontest.cpp
@@ -36,6 +36,15 @@
     BOOST_TEST(parseSubmission(request, rulesWith({ KeyRule::header("x-none") })).key.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ARepeatedMemberIsRefused)
+{
+    const ServiceRules rules = rulesWith({ KeyRule::idempotencyKey() });
+    for (const char *body : { R"({"idempotent":false,"idempotent":true,"tasks":[{}]})", R"({"tasks":[{"runTimeMs":1,"runTimeMs":2}]})" }) {
+        BOOST_CHECK_THROW(parseSubmission(requestWith(body), rules), InvalidDocument);
+    }
+    BOOST_CHECK_NO_THROW(parseSubmission(requestWith(R"({"idempotent":true,"tasks":[{"runTimeMs":1},{"runTimeMs":2}]})"), rules));
+}
+
 BOOST_AUTO_TEST_CASE(TimeOfATimeOrderedKey)
 {
     const auto time = timeOfKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f");
--- a/modules/network/tcplistener.cpp
+++ b/modules/network/tcplistener.cpp
@@ -30,7 +30,7 @@
         m_acceptor.listen();
         m_address = { address.ip, m_acceptor.local_endpoint().port() };
     } catch (const boost::system::system_error &error) {
-        throw NetworkError("cannot listen on " + address.ip + ":" + std::to_string(address.port) + ": " + error.what());
+        throw NetworkError("cannot listen on " + address.ip + ":" + std::to_string(address.port) + ": " + error.code().message());
     }
     accept();
 }
