--- a/modules/placement/tests/workerhealthtest.cpp
+++ b/modules/placement/tests/workerhealthtest.cpp
@@ -96,6 +96,29 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatFailsBeforeAnyOtherHasAnsweredIsEjected)
+{
+    WorkerHealth health{ EjectionRules{}, StragglerRules{} };
+    for (std::uint64_t worker = 1; worker <= 4; ++worker) {
+        health.add(NodeId{ worker }, 1);
+    }
+    Instant now{ 100s };
+    std::uint32_t failures = 0;
+    while (!health.isEjected(NodeId{ 1 }) && failures < 128) {
+        now += 1ms;
+        health.record(NodeId{ 1 }, AttemptResult::FailedAtWorker, usual, usual, now);
+        ++failures;
+    }
+    BOOST_TEST(failures <= 2 * EjectionRules{}.minimumSamples);
+    // The only worker of a service is never ejected.
+    WorkerHealth alone{ EjectionRules{}, StragglerRules{} };
+    alone.add(NodeId{ 1 }, 1);
+    for (int time = 0; time < 50; ++time) {
+        alone.record(NodeId{ 1 }, AttemptResult::FailedAtWorker, usual, usual, now);
+    }
+    BOOST_TEST(!alone.isEjected(NodeId{ 1 }));
+}
+
 BOOST_AUTO_TEST_CASE(FindsStragglersAndLooksAgain)
 {
     Fleet fleet(5);
--- a/modules/placement/workerhealth.cpp
+++ b/modules/placement/workerhealth.cpp
@@ -172,8 +172,12 @@
             othersAttempts += other.succeeded + other.failed;
         }
     }
-    const double fleetRate = othersAttempts > 0 ? othersFailed / othersAttempts : 0;
-    return othersAttempts > 0 && percent * (record.failed / attempts - fleetRate) > m_ejection.failurePercentAboveFleet;
+    if (othersAttempts == 0) {
+        // Quick failures draw the work before the others have answered once; twice the samples make up for the missing fleet.
+        return record.succeeded == 0 && attempts >= 2 * m_ejection.minimumSamples * sampleTolerance;
+    }
+    const double fleetRate = othersFailed / othersAttempts;
+    return percent * (record.failed / attempts - fleetRate) > m_ejection.failurePercentAboveFleet;
 }
 
 bool WorkerHealth::mayEjectOneMore() const
