--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -5,6 +5,7 @@
 #include <lagoonroute/app/dialect.h>
 #include <lagoonroute/app/dialectstore.h>
 #include <lagoonroute/app/directloop.h>
+#include <lagoonroute/app/directreload.h>
 #include <lagoonroute/app/directsettings.h>
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/direct/direct.h>
@@ -40,7 +41,7 @@
                        carryOut(now);
                    },
                    [this](Instant now) { stop(now); },
-                   [this, settingsPath] { reload(settingsPath); } })
+                   [this, settingsPath] { reloadContacts(settingsPath, m_plan, m_loop.enter()); } })
         , m_core(UpstreamCore::Options()
                      .withNode(m_settings.node, m_settings.zone, static_cast<Incarnation>(MonotonicClock::nowWithSuspension().time_since_epoch().count()))
                      .withFirstToken(static_cast<std::uint64_t>(timeOfDay().time_since_epoch().count()))
@@ -261,17 +262,6 @@
         m_core.beginStop(now, m_actions);
     }
 
-    void reload(const std::string &path)
-    {
-        try {
-            const DirectSettings changed = DirectSettings::fromFile(path);
-            m_plan.learn(changed.contactAddresses(), m_loop.enter());
-            logLine(LogLevel::Info, "reloaded", { { "contacts", static_cast<std::int64_t>(changed.contacts.size()) } });
-        } catch (const Error &error) {
-            logLine(LogLevel::Warning, "reload-failed", { { "fault", error.what() } });
-        }
-    }
-
     std::string renderMetrics()
     {
         m_metrics.gauge("lagoonroute_runs").set(static_cast<std::int64_t>(m_core.runs()));
--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -5,6 +5,7 @@
 #include <lagoonroute/app/dialect.h>
 #include <lagoonroute/app/dialectstore.h>
 #include <lagoonroute/app/directloop.h>
+#include <lagoonroute/app/directreload.h>
 #include <lagoonroute/app/directsettings.h>
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/direct/direct.h>
@@ -39,7 +40,7 @@
                        carryOut(now);
                    },
                    [this](Instant now) { stop(now); },
-                   [this, settingsPath] { reload(settingsPath); } })
+                   [this, settingsPath] { reloadContacts(settingsPath, m_plan, m_loop.enter()); } })
         , m_core(DirectEntryCore::Options().withNode(m_settings.node, m_settings.link).withZone(m_settings.zone))
         , m_plan(DialPlan::Options().withSelf(m_settings.link))
         , m_routesFollower(KeyFollower::Options().withKey(D::routesKey(), StorePurpose::Configuration).withSeed(seed()), routesCall)
@@ -401,17 +402,6 @@
         logLine(LogLevel::Info, "stop-begun", { { "openJobs", static_cast<std::int64_t>(m_core.openJobs()) } });
     }
 
-    void reload(const std::string &path)
-    {
-        try {
-            const DirectSettings changed = DirectSettings::fromFile(path);
-            m_plan.learn(changed.contactAddresses(), m_loop.enter());
-            logLine(LogLevel::Info, "reloaded", { { "contacts", static_cast<std::int64_t>(changed.contacts.size()) } });
-        } catch (const Error &error) {
-            logLine(LogLevel::Warning, "reload-failed", { { "fault", error.what() } });
-        }
-    }
-
     std::string renderMetrics()
     {
         m_metrics.gauge("lagoonroute_open_jobs").set(static_cast<std::int64_t>(m_core.openJobs()));
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -167,6 +167,7 @@
     void taskEnded(NodeId agent, const TaskEnded &end, Instant now, EntryActions &actions);
     void startRefused(NodeId agent, const StartRefused &refusal, Instant now, EntryActions &actions);
     void requeue(Job &job, Task &task);
+    void releaseRun(const JobPointer &job, Task &task, std::vector<JobPointer> &closed);
     void completeTask(const JobPointer &job, Task &task, Instant now, EntryActions &actions);
     void unblock(Job &job);
     void answer(const JobPointer &job, const DirectAnswer &answer, Instant now, EntryActions &actions);
--- /dev/null
+++ b/modules/direct/directentryqueue.cpp
@@ -0,0 +1,171 @@
+#include <lagoonroute/direct/directentrycore.h>
+
+#include "directtimes.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Share of the upstreams' processors that an entry counts on for itself before it has measured more. */
+constexpr double expectedUse = 0.85;
+
+} // namespace
+
+PlacementWish DirectEntryCore::wishOf(const Job &job, const Task &task) const
+{
+    const DirectStep &step = job.job.steps[task.step];
+    PlacementWish wish{ job.route.service, step.need, step.requiredLabel, step.preferredLabel, task.excluded };
+    if (step.maxPerUpstream == 0) {
+        return wish;
+    }
+    std::map<NodeId, std::uint32_t> taken;
+    for (const Task &other : job.tasks) {
+        const bool isActive = other.phase == TaskPhase::Sent || other.phase == TaskPhase::Stopping || other.phase == TaskPhase::Unproven;
+        if (other.step == task.step && isActive && ++taken[other.agent] == step.maxPerUpstream) {
+            wish.excluded.push_back(other.agent);
+        }
+    }
+    return wish;
+}
+
+std::vector<DirectEntryCore::JobPointer> DirectEntryCore::queue(Instant now)
+{
+    struct Place
+    {
+        std::uint32_t priority;
+        bool isLate;
+        Instant key;
+        JobPointer job;
+    };
+    std::vector<Place> places;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->waiting > 0) {
+            // A job that has started is finished first: its other tasks have taken room already.
+            const bool isLate = !job->hasStarted && now + job->chain > job->objective;
+            places.push_back(Place{ job->route.priority, isLate, job->hasStarted ? job->arrived - largestHeadStart : job->sortKey, job });
+        }
+    }
+    std::sort(places.begin(), places.end(), [](const Place &left, const Place &right) {
+        return std::tie(left.priority, left.isLate, left.key) < std::tie(right.priority, right.isLate, right.key);
+    });
+    std::vector<JobPointer> ordered;
+    ordered.reserve(places.size());
+    for (Place &place : places) {
+        ordered.push_back(std::move(place.job));
+    }
+    return ordered;
+}
+
+bool DirectEntryCore::placeTasks(const JobPointer &job, Instant now)
+{
+    for (Task &task : job->tasks) {
+        if (task.phase != TaskPhase::Waiting) {
+            continue;
+        }
+        PlacementWish wish = wishOf(*job, task);
+        auto chosen = m_board.choose(wish, now);
+        if (!chosen && !task.excluded.empty()) {
+            // Rather the same upstream again than none, when every other one is excluded for good.
+            const bool isAllExcluded = task.excluded.size() >= m_board.openAgents();
+            if (isAllExcluded) {
+                task.excluded.clear();
+                chosen = m_board.choose(wishOf(*job, task), now);
+            }
+        }
+        if (!chosen) {
+            return false;
+        }
+        const AgentBoard::Agent &agent = *m_board.find(*chosen);
+        ++task.run;
+        task.phase = TaskPhase::Sent;
+        task.agent = *chosen;
+        task.link = agent.link;
+        task.sentAt = now;
+        --job->waiting;
+        ++job->active;
+        job->work -= task.work;
+        job->hasStarted = true;
+        m_board.startSent(*chosen, wish.need);
+        auto pending = std::find_if(m_pendingStarts.begin(), m_pendingStarts.end(), [&](const PendingStart &other) {
+            return other.link == agent.link && other.start.job == job->job.id;
+        });
+        if (pending == m_pendingStarts.end()) {
+            m_pendingStarts.push_back(PendingStart{ agent.link, StartTasks{ job->job.id, job->job.spec, {} } });
+            pending = m_pendingStarts.end() - 1;
+        }
+        pending->start.tasks.push_back(TaskStart{ task.step, task.index, task.run, wish.need, task.checkpoint });
+    }
+    return true;
+}
+
+void DirectEntryCore::flushStarts(EntryActions &actions)
+{
+    for (PendingStart &pending : std::exchange(m_pendingStarts, {})) {
+        actions.emplace_back(SendOnLink{ pending.link, std::move(pending.start) });
+    }
+}
+
+double DirectEntryCore::workRate(const std::string &service, Instant now) const
+{
+    const double capacity = static_cast<double>(m_board.openCapacity(service));
+    const double share = expectedUse * capacity / static_cast<double>(m_peers + 1);
+    const double kept = std::exp(-static_cast<double>((now - m_doneAt).count()) / static_cast<double>(workRateTime.count()));
+    return std::clamp(m_doneWork * kept, share, std::max(share, capacity));
+}
+
+void DirectEntryCore::pump(Instant now, EntryActions &actions)
+{
+    m_needsPump = false;
+    const std::vector<JobPointer> ordered = queue(now);
+    std::optional<std::uint32_t> blockedPriority;
+    for (const JobPointer &job : ordered) {
+        if (blockedPriority && job->route.priority > *blockedPriority) {
+            break; // nothing less urgent takes the room that a more urgent job waits for
+        }
+        const bool isOrdinary = job->job.steps.front().requiredLabel.empty();
+        if (!placeTasks(job, now) && isOrdinary && !blockedPriority) {
+            blockedPriority = job->route.priority;
+        }
+    }
+    flushStarts(actions);
+    reviewQueue(ordered, now, actions);
+}
+
+void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
+{
+    double ahead = 0;
+    for (const JobPointer &job : ordered) {
+        if (job->waiting == 0 || job->isClosed) {
+            continue;
+        }
+        const double rate = std::max(1.0, workRate(job->route.service, now));
+        const bool hasAgents = m_board.openCapacity(job->route.service) > 0;
+        const auto wait = hasAgents ? Duration(static_cast<Duration::rep>(ahead / rate)) : Duration(0);
+        ahead += job->work;
+        if (job->hasStarted) {
+            continue;
+        }
+        const Instant useful = std::min(job->deadline, job->arrived + scaled(job->objective - job->arrived, m_options.usefulFactor));
+        if (now + wait + job->chain <= useful) {
+            continue;
+        }
+        ahead -= job->work;
+        const Duration backlog = std::max(shortestRetryAfter, wait);
+        note(actions,
+             "refused",
+             job->job.id,
+             "overloaded, expected wait " + std::to_string(wait.count() / 1000) + " ms after " + std::to_string((now - job->arrived).count() / 1000) + " ms");
+        answer(job, DirectAnswer{ DirectVerdict::NotRun, "overloaded", backlog }, now, actions);
+    }
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/direct/upstreamlinks.cpp
@@ -0,0 +1,157 @@
+#include <lagoonroute/direct/upstreamcore.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Longest lease that an upstream grants, as its clock runs at worst; what an earlier life of the agent left is over by then. */
+constexpr Duration longestForeignLease = 1100ms;
+/** A link that says nothing after it was opened is closed. */
+constexpr Duration greetingTime = 2s;
+
+} // namespace
+
+void UpstreamCore::openLink(LinkId link, Instant now, UpstreamActions &actions)
+{
+    Link &opened = m_links[link];
+    opened = Link{};
+    opened.contactUntil = now + greetingTime;
+    elapse(now, actions);
+}
+
+void UpstreamCore::closeLink(LinkId link, Instant now, UpstreamActions &actions)
+{
+    if (m_links.erase(link) == 0) {
+        return;
+    }
+    for (auto &[task, run] : m_runs) {
+        if (run.link == link) {
+            requestStop(task, run, now, actions);
+        }
+    }
+    elapse(now, actions);
+}
+
+void UpstreamCore::dropLink(LinkId link, const std::string &reason, Instant now, UpstreamActions &actions)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end()) {
+        return;
+    }
+    note(actions, "link-dropped", found->second.entry, reason, true);
+    actions.emplace_back(CloseLink{ link });
+    closeLink(link, now, actions);
+}
+
+void UpstreamCore::receive(LinkId linkId, const LinkMessage &message, Instant now, UpstreamActions &actions)
+{
+    const auto found = m_links.find(linkId);
+    if (found == m_links.end()) {
+        return;
+    }
+    Link &link = found->second;
+    if (const auto *hello = std::get_if<EntryHello>(&message)) {
+        link.entry = hello->node;
+        link.address = hello->address;
+        link.contactUntil = now + greetingTime;
+    } else if (const auto *echo = std::get_if<EntryEcho>(&message)) {
+        link.contactUntil = std::max(link.contactUntil, Instant(Duration(echo->clock)) + m_options.linkSilence);
+    } else if (const auto *start = std::get_if<StartTasks>(&message)) {
+        for (const TaskStart &task : start->tasks) {
+            startRun(linkId, link, *start, task, now, actions);
+        }
+    } else if (const auto *stop = std::get_if<StopTask>(&message)) {
+        const auto run = m_runs.find(stop->task);
+        if (run != m_runs.end() && run->second.run == stop->run && run->second.link == linkId) {
+            requestStop(stop->task, run->second, now, actions);
+        }
+    } else if (const auto *offered = std::get_if<OfferDocument>(&message)) {
+        link.documentVersion = std::max(link.documentVersion, offered->version);
+        if (offered->version > m_document.version) {
+            m_document = *offered;
+        }
+        spreadDocument(actions);
+    }
+    elapse(now, actions);
+}
+
+void UpstreamCore::spreadDocument(UpstreamActions &actions)
+{
+    for (auto &[id, link] : m_links) {
+        if (link.greeted && link.documentVersion < m_document.version) {
+            link.documentVersion = m_document.version;
+            actions.emplace_back(SendOnLink{ id, m_document });
+        }
+    }
+}
+
+bool UpstreamCore::mayGreet(const Link &link, LinkId linkId, Instant now) const
+{
+    if (link.greeted || link.entry.empty()) {
+        return false;
+    }
+    const bool isCleared = m_phase == Phase::Serving || (m_startedAt && now > *m_startedAt + longestForeignLease);
+    const bool hasOrphans
+        = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &item) { return item.second.entry == link.entry && item.second.link != linkId; });
+    return isCleared && !hasOrphans;
+}
+
+void UpstreamCore::greet(Instant now, UpstreamActions &actions)
+{
+    for (auto &[id, link] : m_links) {
+        if (!mayGreet(link, id, now)) {
+            continue;
+        }
+        link.greeted = true;
+        link.contactUntil = now + m_options.linkSilence;
+        link.lastBeat = now;
+        link.roomChanged = true;
+        actions.emplace_back(SendOnLink{ id, AgentHello{ m_options.node, m_options.zone, m_options.incarnation } });
+        actions.emplace_back(SendOnLink{ id, offer() });
+        actions.emplace_back(SendOnLink{ id, AgentBeat{ now.time_since_epoch().count() } });
+        note(actions, "link-greeted", link.entry, link.address);
+    }
+    spreadDocument(actions);
+}
+
+void UpstreamCore::sayOffer(UpstreamActions &actions)
+{
+    const AgentOffer current = offer();
+    if (current == m_saidOffer) {
+        return;
+    }
+    m_saidOffer = current;
+    for (auto &[id, link] : m_links) {
+        if (link.greeted) {
+            actions.emplace_back(SendOnLink{ id, current });
+            link.roomChanged = true;
+        }
+    }
+}
+
+void UpstreamCore::roomHasChanged()
+{
+    for (auto &[id, link] : m_links) {
+        link.roomChanged = true;
+    }
+}
+
+void UpstreamCore::sayRoom(Instant now, UpstreamActions &actions)
+{
+    for (auto &[id, link] : m_links) {
+        if (link.greeted && link.roomChanged && now >= link.roomSaidAt + m_options.roomInterval) {
+            link.roomChanged = false;
+            link.roomSaidAt = now;
+            actions.emplace_back(SendOnLink{ id, AgentRoom{ freeRoom(), link.startsHandled } });
+        }
+    }
+}
+
+} // namespace lagoonroute
--- /dev/null
+++ b/modules/direct/upstreamruns.cpp
@@ -0,0 +1,192 @@
+#include <lagoonroute/direct/upstreamcore.h>
+
+#include "upstreamtimes.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Pause before a stop without an answer is sent again. */
+constexpr Duration stopRetry = 10ms;
+
+} // namespace
+
+void UpstreamCore::handle(const StartAnswered &answer, Instant now, UpstreamActions &actions)
+{
+    const auto found = m_runs.find(answer.task);
+    if (found == m_runs.end() || found->second.run != answer.run) {
+        return;
+    }
+    Run &run = found->second;
+    switch (answer.result) {
+    case OrderResult::Accepted:
+        run.neverConfirmed = false;
+        if (run.phase == RunPhase::Starting || run.phase == RunPhase::Doubtful) {
+            run.phase = RunPhase::Running;
+            run.phaseLook = m_lastLook;
+            if (run.stopRequested) {
+                requestStop(answer.task, run, now, actions);
+            }
+        }
+        break;
+    case OrderResult::NoAnswer:
+        if (run.phase == RunPhase::Starting) {
+            note(actions, "start-unanswered", answer.task.job, "run " + std::to_string(answer.run), true);
+            run.phase = RunPhase::Doubtful;
+            run.phaseLook = m_lastLook;
+            run.changed = now;
+            lookSoon(now, 0ms);
+        }
+        break;
+    case OrderResult::RunTooLow:
+        finishUnstarted(found, run.stopRequested ? StartRefusal::Unanswered : StartRefusal::RunTooLow, actions);
+        break;
+    case OrderResult::NoRoom:
+        note(actions, "account-differs", answer.task.job, "the upstream has no room for what fits the account", true);
+        finishUnstarted(found, StartRefusal::NoRoom, actions);
+        break;
+    case OrderResult::Unhealthy:
+        finishUnstarted(found, StartRefusal::Unhealthy, actions);
+        break;
+    case OrderResult::Invalid:
+        finish(found, RunEnd::Failed, "", actions);
+        break;
+    case OrderResult::FenceTooLow:
+    case OrderResult::OtherLife:
+        finishUnstarted(found, StartRefusal::Closed, actions);
+        beginFencing(now, actions);
+        break;
+    case OrderResult::TooLate:
+        finishUnstarted(found, StartRefusal::Closed, actions);
+        break;
+    case OrderResult::Refused:
+        finishUnstarted(found, StartRefusal::Closed, actions);
+        loseUpstream("refuses connections", actions);
+        m_nextLookAt = now + lookRetry;
+        break;
+    }
+    elapse(now, actions);
+}
+
+void UpstreamCore::handle(const StopAnswered &answer, Instant now, UpstreamActions &actions)
+{
+    const auto found = m_runs.find(answer.task);
+    if (found == m_runs.end() || found->second.run != answer.run || found->second.phase != RunPhase::Stopping) {
+        return;
+    }
+    Run &run = found->second;
+    if (answer.result == OrderResult::Refused) {
+        loseUpstream("refuses connections", actions);
+        m_nextLookAt = now + lookRetry;
+    } else if (answer.result == OrderResult::Accepted || answer.result == OrderResult::RunTooLow) {
+        run.phase = RunPhase::Confirmed;
+        run.phaseLook = m_lastLook;
+        run.changed = now;
+        // A run that never began is over at once; one that is being stopped is listed until it is.
+        lookSoon(now, 0ms);
+    } else {
+        if (answer.result == OrderResult::FenceTooLow) {
+            beginFencing(now, actions);
+        }
+        run.retryStopAt = now + stopRetry;
+    }
+    elapse(now, actions);
+}
+
+std::optional<StartRefusal> UpstreamCore::refusalOf(const DirectTaskId &task, const Resources &need, const Link &link, Instant now) const
+{
+    if (!isOpen() || !link.greeted || now > link.contactUntil || !leaseEndAt(now)) {
+        return StartRefusal::Closed;
+    }
+    if (m_runs.count(task) != 0 || !need.fitsInto(freeRoom())) {
+        return StartRefusal::NoRoom;
+    }
+    return std::nullopt;
+}
+
+void UpstreamCore::startRun(LinkId linkId, Link &link, const StartTasks &order, const TaskStart &task, Instant now, UpstreamActions &actions)
+{
+    ++link.startsHandled;
+    link.roomChanged = true;
+    const DirectTaskId id{ order.job, task.step, task.index };
+    if (const auto reason = refusalOf(id, task.need, link, now)) {
+        refuse(linkId, id, task.run, *reason, actions);
+        return;
+    }
+    Run &run = m_runs[id];
+    run = Run{ .link = linkId, .entry = link.entry, .run = task.run, .phase = RunPhase::Starting, .need = task.need, .changed = now };
+    run.phaseLook = m_lastLook;
+    run.progress = RunProgress(now);
+    m_used = m_used + task.need;
+    roomHasChanged();
+    const auto leaseTime = std::chrono::duration_cast<Duration>(m_options.lease * slowestClock);
+    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime + leaseMargin);
+    actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *leaseEndAt(now) });
+}
+
+void UpstreamCore::refuse(LinkId link, const DirectTaskId &task, std::uint32_t run, StartRefusal reason, UpstreamActions &actions)
+{
+    actions.emplace_back(SendOnLink{ link, StartRefused{ task, run, reason } });
+}
+
+void UpstreamCore::requestStop(const DirectTaskId &task, Run &run, Instant now, UpstreamActions &actions)
+{
+    run.stopRequested = true;
+    if (run.phase == RunPhase::Stopping || run.phase == RunPhase::Confirmed) {
+        return;
+    }
+    run.phase = RunPhase::Stopping;
+    run.changed = now;
+    run.retryStopAt = now + (m_options.orderTimeout * 2);
+    actions.emplace_back(OrderStop{ header(), task, run.run });
+}
+
+void UpstreamCore::finish(std::map<DirectTaskId, Run>::iterator run, RunEnd end, const std::string &checkpoint, UpstreamActions &actions)
+{
+    if (m_links.count(run->second.link) != 0) {
+        actions.emplace_back(SendOnLink{ run->second.link, TaskEnded{ run->first, run->second.run, end, checkpoint } });
+    }
+    m_used = m_used - run->second.need;
+    m_runs.erase(run);
+    roomHasChanged();
+}
+
+void UpstreamCore::finishUnstarted(std::map<DirectTaskId, Run>::iterator run, StartRefusal reason, UpstreamActions &actions)
+{
+    if (m_links.count(run->second.link) != 0) {
+        refuse(run->second.link, run->first, run->second.run, reason, actions);
+    }
+    m_used = m_used - run->second.need;
+    m_runs.erase(run);
+    roomHasChanged();
+}
+
+void UpstreamCore::loseAllRuns(UpstreamActions &actions)
+{
+    while (!m_runs.empty()) {
+        finish(m_runs.begin(), RunEnd::Lost, "", actions);
+    }
+}
+
+void UpstreamCore::recheckRuns(Instant now, UpstreamActions &actions)
+{
+    if (!m_runs.empty() && now > m_leaseUntil) {
+        note(actions, "lease-lapsed", m_report.id, std::to_string(m_runs.size()) + " runs lost", true);
+        loseAllRuns(actions);
+    }
+    for (auto &[task, run] : m_runs) {
+        if (run.phase == RunPhase::Stopping && now >= run.retryStopAt) {
+            run.retryStopAt = now + (m_options.orderTimeout * 2);
+            actions.emplace_back(OrderStop{ header(), task, run.run });
+        }
+    }
+}
+
+} // namespace lagoonroute
