A contact that is no address is logged and forgotten

Cause (by reading): addresses of the contact list were parsed where they are dialled, and a line of another writer would have ended the process.

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -4,8 +4,8 @@
 #include <lagoonroute/app/decisionlog.h>
 #include <lagoonroute/app/dialect.h>
 #include <lagoonroute/app/dialectstore.h>
+#include <lagoonroute/app/directcontacts.h>
 #include <lagoonroute/app/directloop.h>
-#include <lagoonroute/app/directreload.h>
 #include <lagoonroute/app/directsettings.h>
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/direct/direct.h>
@@ -107,9 +107,7 @@
     {
         followStore(now);
         seekEntries(now);
-        for (const std::string &address : m_plan.due(now)) {
-            m_plan.dialled(address, m_links.dial(addressFromText(address)));
-        }
+        dialContacts(m_plan, m_links, now);
         m_core.elapse(now, m_actions);
         carryOut(now);
         if (m_core.runs() > 0 || !m_idleSince) {
--- a/include/lagoonroute/direct/dialplan.h
+++ b/include/lagoonroute/direct/dialplan.h
@@ -37,6 +37,9 @@
     /** A link to the address was dialled or is open under this number. */
     void dialled(const std::string &address, LinkId link);
 
+    /** Drops an address. */
+    void forget(const std::string &address);
+
     /** A link is open. */
     void opened(LinkId link);
 
--- a/modules/app/directreload.cpp
+++ b/modules/app/directcontacts.cpp
@@ -1,5 +1,6 @@
-#include <lagoonroute/app/directreload.h>
+#include <lagoonroute/app/directcontacts.h>
 
+#include <lagoonroute/app/addresstext.h>
 #include <lagoonroute/app/directsettings.h>
 #include <lagoonroute/base/errors.h>
 #include <lagoonroute/observation/log.h>
@@ -18,4 +19,16 @@
     }
 }
 
+void dialContacts(DialPlan &plan, LinkEndpoint &links, Instant now)
+{
+    for (const std::string &address : plan.due(now)) {
+        try {
+            plan.dialled(address, links.dial(addressFromText(address)));
+        } catch (const InvalidDocument &error) {
+            logLine(LogLevel::Warning, "contact-unreadable", { { "fault", error.what() } });
+            plan.forget(address);
+        }
+    }
+}
+
 } // namespace lagoonroute
--- a/modules/direct/dialplan.cpp
+++ b/modules/direct/dialplan.cpp
@@ -61,6 +61,11 @@
     m_targets[address].link = link;
 }
 
+void DialPlan::forget(const std::string &address)
+{
+    m_targets.erase(address);
+}
+
 void DialPlan::opened(LinkId link)
 {
     for (auto &[address, target] : m_targets) {
