An agent that is gone for good is forgotten by the entry

Cause (reading the change): the entry's picture kept every agent it ever met, and a job counted as runnable for the sake of one that was gone. Change: forgotten after 60 s without a link. Test: AnAgentThatIsGoneForGoodIsForgotten.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -52,6 +52,7 @@
         AgentBoard::Options board;
         Duration linkSilence = std::chrono::milliseconds(900); /**< Without a beat, after which a link is closed; an agent gives up after 700. */
         Duration proofTime = std::chrono::milliseconds(1650); /**< After the last echo: the agent's 700, the lease of 800 on a slow clock, and a stop. */
+        Duration forgetAgentAfter = std::chrono::seconds(60); /**< Without a link; a host that is replaced comes back under another name. */
         Duration answerRetention = std::chrono::seconds(10); /**< For which a resubmission gets the answer that was given. */
         std::size_t maxKeptAnswers = 4096;
         std::size_t maxJobs = 20'000; /**< Further submissions are refused. */
@@ -190,7 +191,8 @@
     void expire(Instant now, EntryActions &actions);
     [[nodiscard]] PlacementWish wishOf(const Job &job, const Task &task) const;
     [[nodiscard]] double workRate(const std::string &service, Instant now) const;
-    [[nodiscard]] DirectAnswer timeIsOver(const Job &job, Instant now) const;
+    [[nodiscard]] static DirectAnswer timeIsOver(const Job &job);
+    void reviewAgents(Instant now, EntryActions &actions);
     void rememberAnswer(const std::string &job, const DirectAnswer &answer, Instant now);
     void note(EntryActions &actions, std::string event, std::string subject, std::string detail, bool isWarning = false) const;
 
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -331,7 +331,7 @@
     }
 }
 
-DirectAnswer DirectEntryCore::timeIsOver(const Job &job, Instant /*now*/) const
+DirectAnswer DirectEntryCore::timeIsOver(const Job &job)
 {
     if (job.hasStarted) {
         return DirectAnswer{ DirectVerdict::TimedOut, "deadline", 0ms };
@@ -348,12 +348,40 @@
         }
     }
     for (const JobPointer &job : over) {
-        const DirectAnswer last = timeIsOver(*job, now);
+        const DirectAnswer last = timeIsOver(*job);
         note(actions, "time-over", job->job.id, last.reason + ", " + std::to_string(job->done) + " of " + std::to_string(job->tasks.size()) + " tasks done");
         answer(job, last, now, actions);
     }
 }
 
+void DirectEntryCore::reviewAgents(Instant now, EntryActions &actions)
+{
+    std::vector<LinkId> silent;
+    for (const auto &[node, agent] : m_board.agents()) {
+        if (agent.link != 0 && now - agent.lastBeat > m_options.linkSilence) {
+            silent.push_back(agent.link);
+        }
+    }
+    for (const auto &[link, opened] : m_strangers) {
+        if (now - opened > greetingTime) {
+            silent.push_back(link);
+        }
+    }
+    for (const LinkId link : silent) {
+        actions.emplace_back(CloseLink{ link });
+        closeLink(link, now, actions);
+    }
+    std::vector<NodeId> gone;
+    for (const auto &[node, agent] : m_board.agents()) {
+        if (agent.link == 0 && now - agent.lastBeat > m_options.forgetAgentAfter) {
+            gone.push_back(node);
+        }
+    }
+    for (const NodeId node : gone) {
+        m_board.forget(node);
+    }
+}
+
 void DirectEntryCore::elapse(Instant now, EntryActions &actions)
 {
     if (!m_startedAt) {
@@ -361,23 +389,9 @@
     }
     if (now >= m_nextReview) {
         m_nextReview = now + reviewInterval;
-        std::vector<LinkId> silent;
-        for (const auto &[node, agent] : m_board.agents()) {
-            if (agent.link != 0 && now - agent.lastBeat > m_options.linkSilence) {
-                silent.push_back(agent.link);
-            }
-        }
-        for (const auto &[link, opened] : m_strangers) {
-            if (now - opened > greetingTime) {
-                silent.push_back(link);
-            }
-        }
         expire(now, actions);
         reviewRuns(now, actions);
-        for (const LinkId link : silent) {
-            actions.emplace_back(CloseLink{ link });
-            closeLink(link, now, actions);
-        }
+        reviewAgents(now, actions);
         m_needsPump = true;
     }
     if (m_needsPump) {
