One way out of a run, one lease extension, an index of kept answers

Sent, Stopping or Unproven stood three times, the lookup of a live run three times, "closed, else requeue" three times, the smoothing of finished work twice, the extension of the lease twice; kept answers were searched one by one for every job, and the room of a service was summed up twice for each waiting job.

Change: isActive, findRun, runIsOver, doneWork and extendLease; answers by job; one rate for a service and review. Dead state is gone: startsSent, DirectStep::checkpoints, two unused parameters.

--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -205,7 +205,7 @@
             return;
         }
         const std::uint64_t version = routes->version();
-        if (!m_core.setRoutes(std::move(*routes), now, m_actions)) {
+        if (!m_core.setRoutes(std::move(*routes), m_actions)) {
             return;
         }
         logLine(LogLevel::Info, "configuration", { { "version", static_cast<std::int64_t>(version) }, { "source", source } });
--- a/include/lagoonroute/direct/agentboard.h
+++ b/include/lagoonroute/direct/agentboard.h
@@ -53,8 +53,7 @@
         LinkId link = 0; /**< 0 while there is none. */
         AgentOffer offer;
         Resources free; /**< As last stated. */
-        std::uint64_t startsSent = 0; /**< On this link. */
-        std::uint64_t startsHandled = 0;
+        std::uint64_t startsHandled = 0; /**< On this link. */
         std::deque<Resources> unhandled; /**< Needs of the starts that the stated room does not contain yet. */
         Instant lastBeat;
         double slowness = 1; /**< Run times against what is expected of them, smoothed. */
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -69,7 +70,7 @@
     explicit DirectEntryCore(Options options);
 
     /** Routes in force; only a table with a higher version replaces the one before. Returns whether it did. */
-    bool setRoutes(RouteTable routes, Instant now, EntryActions &actions);
+    bool setRoutes(RouteTable routes, EntryActions &actions);
 
     /** Routes in force. */
     [[nodiscard]] const RouteTable &routes() const noexcept
@@ -167,13 +168,16 @@
     Task *findTask(const DirectTaskId &id, JobPointer &job);
     void taskEnded(NodeId agent, const TaskEnded &end, Instant now, EntryActions &actions);
     void startRefused(NodeId agent, const StartRefused &refusal, Instant now, EntryActions &actions);
+    [[nodiscard]] static bool isActive(const Task &task);
+    Task *findRun(NodeId agent, const DirectTaskId &id, std::uint32_t run, JobPointer &job);
     void requeue(Job &job, Task &task);
-    void releaseRun(const JobPointer &job, Task &task, std::vector<JobPointer> &closed);
+    void runIsOver(Job &job, Task &task);
     void completeTask(const JobPointer &job, Task &task, Instant now, EntryActions &actions);
     void unblock(Job &job);
     void answer(const JobPointer &job, const DirectAnswer &answer, Instant now, EntryActions &actions);
-    void closeJob(const JobPointer &job, Instant now, EntryActions &actions);
+    void closeJob(const JobPointer &job, EntryActions &actions);
     void eraseIfOver(const JobPointer &job);
+    void eraseJobsThatAreOver();
     void agentLost(NodeId agent, Instant lastEcho, EntryActions &actions);
     void agentCleared(NodeId agent);
     void pump(Instant now, EntryActions &actions);
@@ -190,6 +194,7 @@
     void reviewRuns(Instant now, EntryActions &actions);
     void expire(Instant now, EntryActions &actions);
     [[nodiscard]] PlacementWish wishOf(const Job &job, const Task &task) const;
+    [[nodiscard]] double doneWork(Instant now) const;
     [[nodiscard]] double workRate(const std::string &service, Instant now) const;
     [[nodiscard]] static DirectAnswer timeIsOver(const Job &job);
     void reviewAgents(Instant now, EntryActions &actions);
@@ -198,7 +203,6 @@
 
     struct KeptAnswer
     {
-        std::string job;
         DirectAnswer answer;
         Instant until;
     };
@@ -215,7 +219,8 @@
     RunTimeEstimator m_estimator;
     std::map<std::string, JobPointer> m_jobs;
     std::map<RequestId, JobPointer> m_byRequest;
-    std::deque<KeptAnswer> m_answers;
+    std::unordered_map<std::string, KeptAnswer> m_answers; // by job
+    std::deque<std::string> m_answered; // jobs of m_answers, the oldest first
     std::map<LinkId, Instant> m_strangers; // links that have not greeted, and when they opened
     std::vector<PendingStart> m_pendingStarts;
     std::optional<Instant> m_startedAt; // first elapse() of this process
--- a/include/lagoonroute/direct/directjob.h
+++ b/include/lagoonroute/direct/directjob.h
@@ -21,7 +21,6 @@
     std::string requiredLabel; /**< Label that the upstream must have; empty for none. */
     std::string preferredLabel; /**< Label of the place of the data; empty for none. */
     std::uint32_t maxPerUpstream = 0; /**< Most tasks of the step on one upstream at once; 0 for no bound. */
-    bool checkpoints = false; /**< Whether a stopped task can go on from a checkpoint. */
 
     auto operator<=>(const DirectStep &) const = default;
 };
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -157,6 +157,7 @@
     void takeRunning(const LookAnswered &answer, Instant now, UpstreamActions &actions);
     void look(Instant now, Duration wait, UpstreamActions &actions);
     [[nodiscard]] bool wasOverLately(const DirectTaskId &task, std::uint32_t run, Instant now) const;
+    void extendLease(Instant now);
     void keepLease(Instant now, UpstreamActions &actions);
     void greet(Instant now, UpstreamActions &actions);
     void sayOffer(UpstreamActions &actions);
--- a/modules/direct/agentboard.cpp
+++ b/modules/direct/agentboard.cpp
@@ -56,7 +56,6 @@
     agent.link = link;
     agent.offer = AgentOffer{};
     agent.free = Resources{};
-    agent.startsSent = 0;
     agent.startsHandled = 0;
     agent.unhandled.clear();
     agent.runs = 0;
@@ -185,7 +184,6 @@
 void AgentBoard::startSent(NodeId node, const Resources &need)
 {
     Agent &agent = m_agents[node];
-    ++agent.startsSent;
     ++agent.runs;
     agent.unhandled.push_back(need);
 }
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -41,7 +41,7 @@
 {
 }
 
-bool DirectEntryCore::setRoutes(RouteTable routes, Instant /*now*/, EntryActions &actions)
+bool DirectEntryCore::setRoutes(RouteTable routes, EntryActions &actions)
 {
     if (routes.version() <= m_routes.version()) {
         return false;
@@ -80,9 +80,9 @@
 
 void DirectEntryCore::submit(RequestId request, const RouteRule &route, const DirectJob &job, Duration patience, Instant now, EntryActions &actions)
 {
-    const auto kept = std::find_if(m_answers.begin(), m_answers.end(), [&](const KeptAnswer &answer) { return answer.job == job.id; });
-    if (kept != m_answers.end() && now < kept->until) {
-        actions.emplace_back(AnswerRequest{ request, job.id, kept->answer });
+    const auto kept = m_answers.find(job.id);
+    if (kept != m_answers.end() && now < kept->second.until) {
+        actions.emplace_back(AnswerRequest{ request, job.id, kept->second.answer });
         return;
     }
     const auto known = m_jobs.find(job.id);
@@ -192,12 +192,12 @@
     job->requests.erase(std::remove(job->requests.begin(), job->requests.end(), request), job->requests.end());
     if (job->requests.empty() && !job->isClosed) {
         note(actions, "abandoned", job->job.id, "the client account closed its connection");
-        closeJob(job, now, actions);
+        closeJob(job, actions);
     }
     elapse(now, actions);
 }
 
-void DirectEntryCore::closeJob(const JobPointer &job, Instant /*now*/, EntryActions &actions)
+void DirectEntryCore::closeJob(const JobPointer &job, EntryActions &actions)
 {
     job->isClosed = true;
     for (Task &task : job->tasks) {
@@ -227,6 +227,11 @@
     }
 }
 
+void DirectEntryCore::eraseJobsThatAreOver()
+{
+    std::erase_if(m_jobs, [](const auto &item) { return item.second->isClosed && item.second->active == 0; });
+}
+
 void DirectEntryCore::answer(const JobPointer &job, const DirectAnswer &answer, Instant now, EntryActions &actions)
 {
     if (answer.verdict != DirectVerdict::NotRun) {
@@ -236,15 +241,18 @@
         m_byRequest.erase(request);
         actions.emplace_back(AnswerRequest{ request, job->job.id, answer });
     }
-    closeJob(job, now, actions);
+    closeJob(job, actions);
 }
 
 void DirectEntryCore::rememberAnswer(const std::string &job, const DirectAnswer &answer, Instant now)
 {
-    while (!m_answers.empty() && (m_answers.front().until <= now || m_answers.size() >= m_options.maxKeptAnswers)) {
-        m_answers.pop_front();
+    while (!m_answered.empty() && (m_answers[m_answered.front()].until <= now || m_answered.size() >= m_options.maxKeptAnswers)) {
+        m_answers.erase(m_answered.front());
+        m_answered.pop_front();
+    }
+    if (m_answers.insert_or_assign(job, KeptAnswer{ answer, now + m_options.answerRetention }).second) {
+        m_answered.push_back(job);
     }
-    m_answers.push_back(KeptAnswer{ job, answer, now + m_options.answerRetention });
 }
 
 DirectEntryCore::Task *DirectEntryCore::findTask(const DirectTaskId &id, JobPointer &job)
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -29,8 +29,7 @@
     }
     std::map<NodeId, std::uint32_t> taken;
     for (const Task &other : job.tasks) {
-        const bool isActive = other.phase == TaskPhase::Sent || other.phase == TaskPhase::Stopping || other.phase == TaskPhase::Unproven;
-        if (other.step == task.step && isActive && ++taken[other.agent] == step.maxPerUpstream) {
+        if (other.step == task.step && isActive(other) && ++taken[other.agent] == step.maxPerUpstream) {
             wish.excluded.push_back(other.agent);
         }
     }
@@ -118,8 +117,7 @@
 {
     const double capacity = static_cast<double>(m_board.openCapacity(service));
     const double share = expectedUse * capacity / static_cast<double>(m_peers + 1);
-    const double kept = std::exp(-static_cast<double>((now - m_doneAt).count()) / static_cast<double>(workRateTime.count()));
-    return std::clamp(m_doneWork * kept, share, std::max(share, capacity));
+    return std::clamp(doneWork(now), share, std::max(share, capacity));
 }
 
 void DirectEntryCore::pump(Instant now, EntryActions &actions)
@@ -143,13 +141,17 @@
 void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
 {
     double ahead = 0;
+    std::map<std::string, double> rates;
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
         }
-        const double rate = std::max(1.0, workRate(job->route.service, now));
-        const bool hasAgents = m_board.openCapacity(job->route.service) > 0;
-        const auto wait = hasAgents ? Duration(static_cast<Duration::rep>(ahead / rate)) : Duration(0);
+        const auto [known, isNew] = rates.try_emplace(job->route.service);
+        if (isNew) {
+            known->second = workRate(job->route.service, now);
+        }
+        const double rate = known->second; // 0 while no agent of the service takes starts
+        const auto wait = rate > 0 ? Duration(static_cast<Duration::rep>(ahead / rate)) : Duration(0);
         ahead += job->work;
         if (job->hasStarted) {
             continue;
--- a/modules/direct/directentryruns.cpp
+++ b/modules/direct/directentryruns.cpp
@@ -21,19 +21,36 @@
 
 } // namespace
 
+bool DirectEntryCore::isActive(const Task &task)
+{
+    return task.phase == TaskPhase::Sent || task.phase == TaskPhase::Stopping || task.phase == TaskPhase::Unproven;
+}
+
+/** Returns the task of a run that the agent may speak of, or null. */
+DirectEntryCore::Task *DirectEntryCore::findRun(NodeId agent, const DirectTaskId &id, std::uint32_t run, JobPointer &job)
+{
+    Task *task = findTask(id, job);
+    const bool isCurrent = task != nullptr && task->run == run && task->agent == agent && isActive(*task) && task->phase != TaskPhase::Unproven;
+    return isCurrent ? task : nullptr;
+}
+
+/** Work of ended runs per microsecond, smoothed. */
+double DirectEntryCore::doneWork(Instant now) const
+{
+    return m_doneWork * std::exp(-static_cast<double>((now - m_doneAt).count()) / static_cast<double>(workRateTime.count()));
+}
+
 void DirectEntryCore::taskEnded(NodeId agent, const TaskEnded &end, Instant now, EntryActions &actions)
 {
     JobPointer job;
-    Task *task = findTask(end.task, job);
-    if (task == nullptr || task->run != end.run || task->agent != agent || (task->phase != TaskPhase::Sent && task->phase != TaskPhase::Stopping)) {
+    Task *task = findRun(agent, end.task, end.run, job);
+    if (task == nullptr) {
         return;
     }
-    --job->active;
     m_board.runOver(agent);
     const Duration runTime = now - task->sentAt;
     const double work = static_cast<double>(job->job.steps[task->step].need.cpuMillis) * static_cast<double>(task->expected.count());
-    const double kept = std::exp(-static_cast<double>((now - m_doneAt).count()) / static_cast<double>(workRateTime.count()));
-    m_doneWork = (m_doneWork * kept) + (work / static_cast<double>(workRateTime.count()));
+    m_doneWork = doneWork(now) + (work / static_cast<double>(workRateTime.count()));
     m_doneAt = now;
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
@@ -60,21 +77,19 @@
     case RunEnd::Lost:
         break;
     }
-    if (job->isClosed) {
-        task->phase = TaskPhase::Dropped;
-        eraseIfOver(job);
-        return;
-    }
-    if (task->failures >= job->route.maxAttempts) {
+    if (!job->isClosed && task->failures >= job->route.maxAttempts) {
+        --job->active;
         task->phase = TaskPhase::Dropped;
         answer(job, DirectAnswer{ DirectVerdict::Failed, "upstream-error", 0ms }, now, actions);
         return;
     }
-    requeue(*job, *task);
+    runIsOver(*job, *task);
+    eraseIfOver(job);
 }
 
 void DirectEntryCore::completeTask(const JobPointer &job, Task &task, Instant now, EntryActions &actions)
 {
+    --job->active;
     task.phase = TaskPhase::Done;
     ++job->done;
     if (job->isClosed) {
@@ -91,11 +106,10 @@
 void DirectEntryCore::startRefused(NodeId agent, const StartRefused &refusal, Instant now, EntryActions &actions)
 {
     JobPointer job;
-    Task *task = findTask(refusal.task, job);
-    if (task == nullptr || task->run != refusal.run || task->agent != agent || (task->phase != TaskPhase::Sent && task->phase != TaskPhase::Stopping)) {
+    Task *task = findRun(agent, refusal.task, refusal.run, job);
+    if (task == nullptr) {
         return;
     }
-    --job->active;
     m_board.runOver(agent);
     switch (refusal.reason) {
     case StartRefusal::NoRoom:
@@ -112,12 +126,8 @@
         break;
     }
     note(actions, "start-refused", job->job.id, "reason " + std::to_string(static_cast<int>(refusal.reason)));
-    if (job->isClosed) {
-        task->phase = TaskPhase::Dropped;
-        eraseIfOver(job);
-        return;
-    }
-    requeue(*job, *task);
+    runIsOver(*job, *task);
+    eraseIfOver(job);
 }
 
 void DirectEntryCore::agentLost(NodeId agent, Instant lastEcho, EntryActions &actions)
@@ -125,7 +135,7 @@
     std::size_t unproven = 0;
     for (const auto &[id, job] : m_jobs) {
         for (Task &task : job->tasks) {
-            if (task.agent == agent && (task.phase == TaskPhase::Sent || task.phase == TaskPhase::Stopping)) {
+            if (task.agent == agent && isActive(task) && task.phase != TaskPhase::Unproven) {
                 task.phase = TaskPhase::Unproven;
                 task.provenAt = lastEcho + m_options.proofTime;
                 ++unproven;
@@ -136,40 +146,34 @@
     note(actions, "agent-lost", known != nullptr ? known->name : std::string(), std::to_string(unproven) + " runs unproven", true);
 }
 
-/** A run is over without a word on how it ended: its task waits again, or is done with together with its job. */
-void DirectEntryCore::releaseRun(const JobPointer &job, Task &task, std::vector<JobPointer> &closed)
+/** A run is over and its task is not done: the task waits again, or is done with together with its job. */
+void DirectEntryCore::runIsOver(Job &job, Task &task)
 {
-    --job->active;
-    if (job->isClosed) {
+    --job.active;
+    if (job.isClosed) {
         task.phase = TaskPhase::Dropped;
-        closed.push_back(job);
         return;
     }
-    requeue(*job, task);
+    requeue(job, task);
 }
 
 void DirectEntryCore::agentCleared(NodeId agent)
 {
-    std::vector<JobPointer> closed;
     for (const auto &[id, job] : m_jobs) {
         for (Task &task : job->tasks) {
-            const bool isActive = task.phase == TaskPhase::Sent || task.phase == TaskPhase::Stopping || task.phase == TaskPhase::Unproven;
-            if (task.agent != agent || !isActive) {
-                continue;
+            if (task.agent == agent && isActive(task)) {
+                runIsOver(*job, task);
             }
-            releaseRun(job, task, closed);
         }
     }
-    for (const JobPointer &job : closed) {
-        eraseIfOver(job);
-    }
+    eraseJobsThatAreOver();
 }
 
 void DirectEntryCore::takeForecast(NodeId agent, const RunForecast &forecast, Instant now)
 {
     JobPointer job;
-    Task *task = findTask(forecast.task, job);
-    if (task == nullptr || task->run != forecast.run || task->agent != agent || task->phase != TaskPhase::Sent) {
+    Task *task = findRun(agent, forecast.task, forecast.run, job);
+    if (task == nullptr || task->phase != TaskPhase::Sent) {
         return;
     }
     task->isStalled = forecast.isStalled;
@@ -251,18 +255,14 @@
 
 void DirectEntryCore::proveOver(Instant now)
 {
-    std::vector<JobPointer> closed;
     for (const auto &[id, job] : m_jobs) {
         for (Task &task : job->tasks) {
-            if (task.phase != TaskPhase::Unproven || now < task.provenAt) {
-                continue;
+            if (task.phase == TaskPhase::Unproven && now >= task.provenAt) {
+                runIsOver(*job, task);
             }
-            releaseRun(job, task, closed);
         }
     }
-    for (const JobPointer &job : closed) {
-        eraseIfOver(job);
-    }
+    eraseJobsThatAreOver();
 }
 
 void DirectEntryCore::reviewRuns(Instant now, EntryActions &actions)
--- a/modules/direct/tests/directsimulation.cpp
+++ b/modules/direct/tests/directsimulation.cpp
@@ -85,7 +85,7 @@
 {
     m_rules = rules;
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-        m_entries[entry].core->setRoutes(RouteTable(1, m_rules, {}), m_now, m_entries[entry].actions);
+        m_entries[entry].core->setRoutes(RouteTable(1, m_rules, {}), m_entries[entry].actions);
     }
 }
 
@@ -102,7 +102,7 @@
         m_options.entry.withNode("entry-" + std::to_string(entry), "10.0.0." + std::to_string(entry + 1) + ":7000").withZone("plateau"));
     host.core->setPeers(m_entries.size() - 1);
     if (!m_rules.empty()) {
-        host.core->setRoutes(RouteTable(1, m_rules, {}), m_now, host.actions);
+        host.core->setRoutes(RouteTable(1, m_rules, {}), host.actions);
     }
     wakeEntry(entry);
 }
--- a/modules/direct/tests/partstest.cpp
+++ b/modules/direct/tests/partstest.cpp
@@ -37,9 +37,9 @@
 {
     DirectEntryCore core{ DirectEntryCore::Options() };
     EntryActions actions;
-    BOOST_TEST(core.setRoutes(RouteTable(7, {}, {}), start, actions));
-    BOOST_TEST(!core.setRoutes(RouteTable(7, {}, {}), start, actions));
-    BOOST_TEST(!core.setRoutes(RouteTable(5, {}, {}), start, actions));
+    BOOST_TEST(core.setRoutes(RouteTable(7, {}, {}), actions));
+    BOOST_TEST(!core.setRoutes(RouteTable(7, {}, {}), actions));
+    BOOST_TEST(!core.setRoutes(RouteTable(5, {}, {}), actions));
     BOOST_TEST(core.routes().version() == 7U);
 }
 
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -196,8 +196,7 @@
     OrderLook order{ header(), slot, m_lastSeenEnd, std::nullopt, wait };
     if (!m_runs.empty() && m_phase == Phase::Serving) {
         order.leaseEnd = leaseEndAt(now);
-        const auto leaseTime = std::chrono::duration_cast<Duration>(m_options.lease * slowestClock);
-        m_leaseUntil = std::max(m_leaseUntil, now + leaseTime + leaseMargin);
+        extendLease(now);
     }
     actions.emplace_back(std::move(order));
 }
@@ -210,6 +209,13 @@
     }
 }
 
+/** An order with a lease end leaves now. */
+void UpstreamCore::extendLease(Instant now)
+{
+    const auto leaseTime = std::chrono::duration_cast<Duration>(m_options.lease * slowestClock);
+    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime + leaseMargin);
+}
+
 void UpstreamCore::keepLease(Instant now, UpstreamActions &actions)
 {
     const bool isDue = m_extraLookAt && now >= *m_extraLookAt;
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -126,8 +126,7 @@
     run.progress = RunProgress(now);
     m_used = m_used + task.need;
     roomHasChanged();
-    const auto leaseTime = std::chrono::duration_cast<Duration>(m_options.lease * slowestClock);
-    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime + leaseMargin);
+    extendLease(now);
     actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *leaseEndAt(now) });
 }
 
