Neighbours are told the configuration's version, and sent the document on request

Every holder sent the whole document to every entry, and again on every new link, so that the link stayed full, beats came too late, the link was closed and the next one got the document again. Ruled out: processor time (0.089 of 0.12 core at most) and the search of routes (sorted by host).

Change: DocumentExchange, one for entry and agent. A neighbour hears the version; who is behind asks one neighbour, after 150 ms in which the store mostly answers, at once when it has no configuration at all, and another one after 1 s, 2 s and so on, none twice. The choice of keepers stays. The protocol of the links is version 2.

Conclusion: what is large goes over a link only when it is asked for.

--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -120,6 +120,9 @@
         dialContacts(m_plan, m_links, now);
         m_core.elapse(now, m_actions);
         carryOut(now);
+        for (const SendOnLink &message : m_documents.elapse(now)) {
+            m_links.send(message.link, message.message);
+        }
         if (m_stopAt) {
             const bool isWithdrawn = now >= *m_stopAt + m_settings.withdrawTime;
             if (isWithdrawn && !std::exchange(m_hasClosedIdle, true)) {
@@ -131,7 +134,8 @@
             }
         }
         std::optional<Instant> wake = m_core.nextWake();
-        for (const auto &other : { m_routesFollower.nextWake(), m_contactsFollower.nextWake(), m_store.nextWake(), m_plan.nextWake() }) {
+        for (const auto &other :
+             { m_routesFollower.nextWake(), m_contactsFollower.nextWake(), m_store.nextWake(), m_plan.nextWake(), m_documents.nextWake() }) {
             wake = !other ? wake : (!wake ? other : std::min(*wake, *other));
         }
         return wake;
@@ -142,7 +146,7 @@
         m_store.drain(now, [this, now](const StoreReply &reply) {
             if (reply.number == routesCall) {
                 if (const auto entry = m_routesFollower.handle(reply, now)) {
-                    take(OfferDocument{ 0, entry->value }, "store", now);
+                    take(OfferDocument{ 0, entry->value }, "store");
                 }
                 noteStoreContact(m_routesFollower.isInContact());
             } else if (reply.number == contactsCall) {
@@ -194,9 +198,9 @@
         }
     }
 
-    void take(OfferDocument offered, const std::string &source, Instant now)
+    void take(OfferDocument offered, const std::string &source)
     {
-        if (offered.version != 0 && offered.version <= m_document.version) {
+        if (offered.version != 0 && offered.version <= m_documents.held().version) {
             return;
         }
         auto routes = D::routes(offered.document);
@@ -209,34 +213,19 @@
             return;
         }
         logLine(LogLevel::Info, "configuration", { { "version", static_cast<std::int64_t>(version) }, { "source", source } });
-        m_document = OfferDocument{ version, std::move(offered.document) };
-        m_holders.clear();
-        spreadDocument();
+        m_documents.hold(OfferDocument{ version, std::move(offered.document) });
+        m_loop.requestTurn();
     }
 
-    /** Gives the newest configuration to the other entries and to the agents that keep it. */
-    void spreadDocument()
+    /** Chooses the agents that keep the newest configuration, the same ones as other entries do. */
+    void chooseDocumentKeepers()
     {
-        if (m_document.version == 0) {
-            return;
-        }
         std::size_t keepers = 0;
         for (const auto &[node, agent] : m_core.board().agents()) {
-            if (agent.link == 0 || keepers == maxDocumentKeepers) {
-                continue;
+            if (agent.link != 0 && keepers < maxDocumentKeepers) {
+                ++keepers;
+                m_documents.tell(agent.link);
             }
-            ++keepers;
-            giveDocument(agent.link);
-        }
-        for (const auto &[link, name] : m_entryLinks) {
-            giveDocument(link);
-        }
-    }
-
-    void giveDocument(LinkId link)
-    {
-        if (m_holders.insert(link).second) {
-            m_links.send(link, m_document);
         }
     }
 
@@ -251,10 +240,14 @@
             }
             m_core.setPeers(peers.size());
             learnContacts({ hello->address }, now);
-            spreadDocument();
+            m_documents.tell(link);
+        } else if (const auto *notice = std::get_if<DocumentNotice>(&message)) {
+            m_documents.noticed(link, notice->version, now);
+        } else if (std::holds_alternative<DocumentRequest>(message)) {
+            m_documents.requested(link);
         } else if (auto *offered = std::get_if<OfferDocument>(&message)) {
-            m_holders.insert(link);
-            take(std::move(*offered), "link", now);
+            m_documents.noticed(link, offered->version, now);
+            take(std::move(*offered), "link");
         } else if (const auto *list = std::get_if<EntryList>(&message)) {
             learnContacts(list->addresses, now);
         }
@@ -263,17 +256,23 @@
             std::vector<std::string> known = m_plan.addresses();
             known.push_back(m_settings.link);
             m_links.send(link, EntryList{ known });
-            spreadDocument();
+            chooseDocumentKeepers();
         }
     }
 
     void closed(LinkId link)
     {
         const Instant now = m_loop.enter();
-        m_holders.erase(link);
+        forgetLink(link, now);
+        m_core.closeLink(link, now, m_actions);
+        chooseDocumentKeepers();
+    }
+
+    void forgetLink(LinkId link, Instant now)
+    {
+        m_documents.closed(link);
         m_entryLinks.erase(link);
         m_plan.closed(link, now);
-        m_core.closeLink(link, now, m_actions);
     }
 
     void serve(const std::shared_ptr<HttpExchange> &exchange)
@@ -356,9 +355,7 @@
                 m_links.send(send->link, send->message);
             } else if (auto *close = std::get_if<CloseLink>(&action)) {
                 m_links.close(close->link);
-                m_holders.erase(close->link);
-                m_entryLinks.erase(close->link);
-                m_plan.closed(close->link, now);
+                forgetLink(close->link, now);
             } else if (auto *answer = std::get_if<AnswerRequest>(&action)) {
                 respond(*answer, now);
             } else {
@@ -423,8 +420,7 @@
     std::map<RequestId, OpenRequest> m_requests;
     RequestId m_lastRequest = 0;
     std::map<LinkId, std::string> m_entryLinks; // links to other entries, and their names
-    std::set<LinkId> m_holders; // links whose other end has the newest configuration
-    OfferDocument m_document;
+    DocumentExchange m_documents{ DocumentExchange::Options() };
     std::optional<Instant> m_stopAt;
     bool m_hasClosedIdle = false;
     bool m_wasReady = false;
--- a/include/lagoonroute/direct/direct.h
+++ b/include/lagoonroute/direct/direct.h
@@ -11,6 +11,7 @@
 #include <lagoonroute/direct/dialplan.h>
 #include <lagoonroute/direct/directentrycore.h>
 #include <lagoonroute/direct/directjob.h>
+#include <lagoonroute/direct/documentexchange.h>
 #include <lagoonroute/direct/entrycontacts.h>
 #include <lagoonroute/direct/linkmessages.h>
 #include <lagoonroute/direct/routetable.h>
--- a/include/lagoonroute/direct/linkmessages.h
+++ b/include/lagoonroute/direct/linkmessages.h
@@ -147,7 +147,7 @@
     auto operator<=>(const StopTask &) const = default;
 };
 
-/** The newest configuration that the sender knows, as the operator wrote it. */
+/** The newest configuration that the sender knows, as the operator wrote it. Sent on request. */
 struct OfferDocument
 {
     std::uint64_t version = 0;
@@ -156,6 +156,20 @@
     auto operator<=>(const OfferDocument &) const = default;
 };
 
+/** Version of the newest configuration that the sender holds. */
+struct DocumentNotice
+{
+    std::uint64_t version = 0;
+
+    auto operator<=>(const DocumentNotice &) const = default;
+};
+
+/** Asks for an OfferDocument. */
+struct DocumentRequest
+{
+    auto operator<=>(const DocumentRequest &) const = default;
+};
+
 /** Entries that the sender knows, "ip:port". */
 struct EntryList
 {
@@ -177,7 +191,9 @@
                                  StartTasks,
                                  StopTask,
                                  OfferDocument,
-                                 EntryList>;
+                                 EntryList,
+                                 DocumentNotice,
+                                 DocumentRequest>;
 
 /** Number of a link within one process. */
 using LinkId = std::uint64_t;
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <lagoonroute/direct/documentexchange.h>
 #include <lagoonroute/direct/runprogress.h>
 #include <lagoonroute/direct/upstreamevents.h>
 
@@ -134,7 +135,6 @@
         Instant lastBeat;
         bool roomChanged = false;
         Instant roomSaidAt;
-        std::uint64_t documentVersion = 0;
     };
 
     struct OverRun
@@ -163,7 +163,7 @@
     void sayOffer(UpstreamActions &actions);
     void sayRoom(Instant now, UpstreamActions &actions);
     void roomHasChanged();
-    void spreadDocument(UpstreamActions &actions);
+    void spreadDocument(Instant now, UpstreamActions &actions);
     void dropLink(LinkId link, const std::string &reason, Instant now, UpstreamActions &actions);
     void recheckRuns(Instant now, UpstreamActions &actions);
     void adopt(const UpstreamReport &report, Instant now, UpstreamActions &actions);
@@ -207,7 +207,7 @@
     std::map<LinkId, Link> m_links;
     Resources m_used;
     AgentOffer m_saidOffer;
-    OfferDocument m_document;
+    DocumentExchange m_documents; // nothing is read from the store here, so neighbours are asked at once
 };
 
 } // namespace lagoonroute
--- /dev/null
+++ b/modules/direct/documentexchange.cpp
@@ -0,0 +1,109 @@
+#include <lagoonroute/direct/documentexchange.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonroute
+{
+
+DocumentExchange::Options DocumentExchange::Options::withPatience(Duration time) const
+{
+    Options changed = *this;
+    changed.patience = time;
+    return changed;
+}
+
+DocumentExchange::DocumentExchange(Options options)
+    : m_options(options)
+    , m_pause(m_options.answerTime)
+{
+}
+
+bool DocumentExchange::hold(OfferDocument document)
+{
+    if (document.version <= m_held.version) {
+        return false;
+    }
+    m_held = std::move(document);
+    std::erase_if(m_offered, [this](const auto &offer) { return offer.second <= m_held.version; });
+    std::erase_if(m_asked, [this](LinkId link) { return m_offered.count(link) == 0; });
+    m_pause = m_options.answerTime;
+    if (m_offered.empty()) {
+        m_askAt.reset();
+    }
+    return true;
+}
+
+void DocumentExchange::tell(LinkId link)
+{
+    m_told.try_emplace(link, 0);
+}
+
+void DocumentExchange::noticed(LinkId link, std::uint64_t version, Instant now)
+{
+    const auto told = m_told.find(link);
+    if (told != m_told.end()) {
+        told->second = std::max(told->second, version);
+    }
+    if (version <= m_held.version) {
+        return;
+    }
+    if (std::exchange(m_offered[link], version) != version) {
+        m_asked.erase(link);
+    }
+    if (!m_askAt) {
+        m_askAt = now + (m_held.version == 0 ? Duration(0) : m_options.patience);
+    }
+}
+
+void DocumentExchange::requested(LinkId link)
+{
+    m_requests.insert(link);
+}
+
+void DocumentExchange::closed(LinkId link)
+{
+    m_told.erase(link);
+    m_offered.erase(link);
+    m_asked.erase(link);
+    m_requests.erase(link);
+}
+
+std::optional<LinkId> DocumentExchange::neighbourToAsk() const
+{
+    const auto found = std::find_if(m_offered.begin(), m_offered.end(), [this](const auto &offer) { return m_asked.count(offer.first) == 0; });
+    return found == m_offered.end() ? std::nullopt : std::optional(found->first);
+}
+
+std::vector<SendOnLink> DocumentExchange::elapse(Instant now)
+{
+    std::vector<SendOnLink> messages;
+    for (auto &[link, version] : m_told) {
+        if (version < m_held.version) {
+            version = m_held.version;
+            messages.push_back(SendOnLink{ link, DocumentNotice{ version } });
+        }
+    }
+    if (m_held.version != 0) {
+        for (const LinkId link : std::exchange(m_requests, {})) {
+            messages.push_back(SendOnLink{ link, m_held });
+        }
+    }
+    if (m_askAt && now >= *m_askAt) {
+        m_askAt.reset();
+        if (const auto link = neighbourToAsk()) {
+            m_asked.insert(*link);
+            messages.push_back(SendOnLink{ *link, DocumentRequest{} });
+            m_askAt = now + m_pause;
+            m_pause = m_pause * 2;
+        }
+    }
+    return messages;
+}
+
+std::optional<Instant> DocumentExchange::nextWake() const
+{
+    return m_askAt;
+}
+
+} // namespace lagoonroute
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -54,6 +54,7 @@
     : m_options(std::move(options))
     , m_phase(Phase::Fencing)
     , m_token(m_options.firstToken)
+    , m_documents(DocumentExchange::Options().withPatience(0ms))
 {
 }
 
@@ -256,6 +257,7 @@
     greet(now, actions);
     sayOffer(actions);
     sayRoom(now, actions);
+    spreadDocument(now, actions);
     for (auto &[id, link] : m_links) {
         if (link.greeted && now >= link.lastBeat + m_options.beatInterval) {
             link.lastBeat = now;
@@ -302,6 +304,9 @@
     if (m_hasReport) {
         consider(m_reportedAt + m_options.offerLifetime + Duration(1));
     }
+    if (const auto ask = m_documents.nextWake()) {
+        consider(*ask);
+    }
     return earliest;
 }
 
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -31,6 +31,7 @@
     if (m_links.erase(link) == 0) {
         return;
     }
+    m_documents.closed(link);
     for (auto &[task, run] : m_runs) {
         if (run.link == link) {
             requestStop(task, run, now, actions);
@@ -73,22 +74,20 @@
             requestStop(stop->task, run->second, now, actions);
         }
     } else if (const auto *offered = std::get_if<OfferDocument>(&message)) {
-        link.documentVersion = std::max(link.documentVersion, offered->version);
-        if (offered->version > m_document.version) {
-            m_document = *offered;
-        }
-        spreadDocument(actions);
+        m_documents.noticed(linkId, offered->version, now);
+        m_documents.hold(*offered);
+    } else if (const auto *notice = std::get_if<DocumentNotice>(&message)) {
+        m_documents.noticed(linkId, notice->version, now);
+    } else if (std::holds_alternative<DocumentRequest>(message)) {
+        m_documents.requested(linkId);
     }
     elapse(now, actions);
 }
 
-void UpstreamCore::spreadDocument(UpstreamActions &actions)
+void UpstreamCore::spreadDocument(Instant now, UpstreamActions &actions)
 {
-    for (auto &[id, link] : m_links) {
-        if (link.greeted && link.documentVersion < m_document.version) {
-            link.documentVersion = m_document.version;
-            actions.emplace_back(SendOnLink{ id, m_document });
-        }
+    for (SendOnLink &message : m_documents.elapse(now)) {
+        actions.emplace_back(std::move(message));
     }
 }
 
@@ -117,8 +116,8 @@
         actions.emplace_back(SendOnLink{ id, offer() });
         actions.emplace_back(SendOnLink{ id, AgentBeat{ now.time_since_epoch().count() } });
         note(actions, "link-greeted", link.entry, link.address);
+        m_documents.tell(id);
     }
-    spreadDocument(actions);
 }
 
 void UpstreamCore::sayOffer(UpstreamActions &actions)
--- a/modules/transport/linkcodec.cpp
+++ b/modules/transport/linkcodec.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::uint8_t linkProtocolVersion = 1;
+constexpr std::uint8_t linkProtocolVersion = 2;
 
 } // namespace
 
@@ -91,6 +91,17 @@
     archive(value.task, value.run);
 }
 
+template <class Archive>
+void serialize(Archive &archive, DocumentNotice &value)
+{
+    archive(value.version);
+}
+
+template <class Archive>
+void serialize(Archive & /*archive*/, DocumentRequest & /*value*/)
+{
+}
+
 template <class Archive>
 void serialize(Archive &archive, OfferDocument &value)
 {
--- a/modules/transport/tests/linktest.cpp
+++ b/modules/transport/tests/linktest.cpp
@@ -26,6 +26,8 @@
              StartTasks{ "5c0e", "spec", { TaskStart{ 1, 17, 3, { 500, 64, 0 }, "0b" }, TaskStart{} } },
              StopTask{ task, 3 },
              OfferDocument{ 7, "{}" },
+             DocumentNotice{ 7 },
+             DocumentRequest{},
              EntryList{ { "10.0.0.1:7000" } } };
 }
 
