Scarce room is told to as many entries as it suffices for, and to one that waits in its turn

Change: RoomTurns at the agent. Room is told to 1.5 entries for each start that it suffices for, others are told nothing; where much is free, every 25 ms instead of 4. An entry with waiting tasks asks some agents (RoomWanted); room is then told to the most urgent one alone, for 8 ms at most. An entry draws its choice from a random part of the agents, the smaller the more entries there are. A search for room is not repeated for tasks that are no smaller than one that found none.

Weighed: telling one entry after the other without asking (an entry without work holds room up), fixed shares (an idle share is lost), a queue at the agent (starts would have to be withdrawn).

Tests: RoomTurnsTest, ManyEntriesWasteLessThanOneStartAJob.

--- a/benchmarks/direct/main.cpp
+++ b/benchmarks/direct/main.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 DEFINE_uint64(seeds, 3, "seeds to play each pattern with");
+DEFINE_string(pattern, "", "play only the patterns whose name contains this");
 DEFINE_string(json, "", "file to write the results to, as JSON");
 
 using namespace lagoonroute;
@@ -81,6 +82,9 @@
                 "refus");
     boost::json::array rows;
     for (const DirectPattern &pattern : directPatterns()) {
+        if (pattern.name.find(FLAGS_pattern) == std::string::npos) {
+            continue;
+        }
         rows.push_back(measure(pattern));
     }
     if (!FLAGS_json.empty()) {
--- a/benchmarks/direct/patterns.cpp
+++ b/benchmarks/direct/patterns.cpp
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t agents = 11;
+constexpr std::size_t agentsOfRates = 11; // for which the kinds' rates are meant
 constexpr Duration calmTime = 2s;
 constexpr Duration loadTime = 12s;
 constexpr Duration settleTime = 8s;
@@ -21,7 +21,7 @@
     simulation.runFor(4s);
     Workload workload(simulation, bookingKinds(), options.entries, seed);
     workload.setExactEstimates(hasExactEstimates);
-    workload.setLoad(pattern.load);
+    workload.setLoad(pattern.load * static_cast<double>(pattern.agents) / agentsOfRates);
     workload.run(calmTime);
     if (pattern.begin) {
         pattern.begin(simulation, workload);
@@ -109,13 +109,26 @@
               simulation.slowUpstream(4, 0, faultTime);
               simulation.crashUpstream(7, faultTime);
           } },
+        { "ten entries, burst of all x 1.3", 1.3, false, false, {}, 10, 61 },
+        { "ten entries, a seventh gone in a burst",
+          1.3,
+          true,
+          false,
+          [](DirectSimulation &simulation, Workload &) {
+              for (std::size_t agent = 0; agent < 61; agent += 7) {
+                  simulation.crashUpstream(agent, faultTime);
+              }
+          },
+          10,
+          61 },
     };
 }
 
 DirectResult playDirect(const DirectPattern &pattern, std::uint64_t seed)
 {
     DirectSimulation::Options options;
-    options.agents = agents;
+    options.entries = pattern.entries;
+    options.agents = pattern.agents;
     options.seed = seed;
     return play(pattern, seed, options, false);
 }
@@ -123,7 +136,8 @@
 DirectResult playIdeal(const DirectPattern &pattern, std::uint64_t seed)
 {
     DirectSimulation::Options options;
-    options.agents = agents;
+    options.entries = pattern.entries;
+    options.agents = pattern.agents;
     options.seed = seed;
     options.hop = 10us;
     options.orderHop = 10us;
--- a/benchmarks/direct/patterns.h
+++ b/benchmarks/direct/patterns.h
@@ -18,6 +18,8 @@
     bool hasFaults = false;
     bool needsEntries = false; /**< Whether its faults strike entries, so that one alone cannot play it. */
     std::function<void(DirectSimulation &, Workload &)> begin; /**< After two calm seconds; may be empty. */
+    std::size_t entries = 3;
+    std::size_t agents = 11; /**< The rates grow with them. */
 };
 
 /** What a pattern came to. */
@@ -35,7 +37,7 @@
 /** All patterns that are measured. */
 std::vector<DirectPattern> directPatterns();
 
-/** Plays a pattern with three entries, hops and declared run times that are off by 40 %. */
+/** Plays a pattern with hops and declared run times that are off by 40 %. */
 DirectResult playDirect(const DirectPattern &pattern, std::uint64_t seed);
 
 /** Plays a pattern without hops and with true run times, by one entry where the pattern allows it. */
--- a/benchmarks/tests/directboundstest.cpp
+++ b/benchmarks/tests/directboundstest.cpp
@@ -40,6 +40,18 @@
     checkAgainstIdeal(true, 0.85);
 }
 
+// Pattern: a burst at many entries. A refused start is a wasted message, and it costs an entry what a start costs.
+BOOST_AUTO_TEST_CASE(ManyEntriesWasteLessThanOneStartAJob)
+{
+    for (const DirectPattern &pattern : directPatterns()) {
+        if (pattern.entries <= 3) {
+            continue;
+        }
+        const DirectResult result = playDirect(pattern, 1);
+        BOOST_TEST(result.refusedStarts < result.counts.submitted, pattern.name << ": " << result.refusedStarts << " refused starts");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(NoPatternBreaksAPromise)
 {
     for (const DirectPattern &pattern : directPatterns()) {
--- a/include/lagoonroute/direct/agentboard.h
+++ b/include/lagoonroute/direct/agentboard.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,18 @@
     auto operator<=>(const PlacementWish &) const = default;
 };
 
+/** Tasks of one service that wait for room. */
+struct RoomWish
+{
+    std::string service;
+    std::string requiredLabel;
+    std::uint32_t priority = 0; /**< Of the most urgent one. */
+    Resources need; /**< Of the smallest one. */
+    std::size_t tasks = 0;
+
+    auto operator<=>(const RoomWish &) const = default;
+};
+
 /** An entry's picture of the agents: who is in contact, how much room is left, and how fast and sound each upstream is. */
 class AgentBoard
 {
@@ -32,6 +45,7 @@
     /** Times and rules. */
     struct Options
     {
+        std::uint64_t seed = 1; /**< Differs from entry to entry, so that they do not all choose the same agent. */
         std::string zone; /**< Of this entry; agents there are preferred among equals. */
         Duration suspectAfter = std::chrono::milliseconds(450); /**< Without a beat; two beats may be late. */
         Duration firstSuspension = std::chrono::milliseconds(500); /**< After a run stood still; long enough for a short trouble to pass. */
@@ -41,6 +55,7 @@
         EjectionRules ejection;
         StragglerRules straggler;
 
+        Options withSeed(std::uint64_t number) const;
         Options withZone(std::string name) const;
     };
 
@@ -58,11 +73,22 @@
         Instant lastBeat;
         double slowness = 1; /**< Run times against what is expected of them, smoothed. */
         std::size_t runs = 0; /**< Of this entry, at the agent. */
+        std::optional<RoomWanted> wanted; /**< What the agent was asked for and has not told yet. */
+        bool hasTurn = false; /**< Whether the agent told its room to this entry alone and waits for an answer. */
         bool isOnProbation = false; /**< Gets single tasks after `suspendedUntil`, until one shows that it is sound again. */
         Instant suspendedUntil;
         Duration suspension{ 0 }; /**< Doubles with each suspension in a row. */
     };
 
+    /** A message about the room that is wanted. */
+    struct RoomRequest
+    {
+        LinkId link = 0;
+        RoomWanted wanted;
+
+        auto operator<=>(const RoomRequest &) const = default;
+    };
+
     explicit AgentBoard(Options options);
 
     /** An agent has greeted on a link. Returns its identity. */
@@ -84,8 +110,14 @@
     /** Forgets an agent that has been without a link. */
     void forget(NodeId node);
 
-    /** Returns the best agent for a task now, or nothing. */
-    [[nodiscard]] std::optional<NodeId> choose(const PlacementWish &wish, Instant now) const;
+    /** Number of entries that choose among the same agents, this one among them. */
+    void setEntries(std::size_t count);
+
+    /** Returns the best agent for a task now out of a random part of those where it fits, or nothing. */
+    [[nodiscard]] std::optional<NodeId> choose(const PlacementWish &wish, Instant now);
+
+    /** Asks some agents for room, and withdraws what is not wanted any more. Returns the messages to send. */
+    std::vector<RoomRequest> requestRoom(const std::vector<RoomWish> &wishes, Instant now);
 
     /** Notes that a start was sent to the agent. */
     void startSent(NodeId node, const Resources &need);
@@ -128,9 +160,15 @@
 
 private:
     [[nodiscard]] bool isUsable(const Agent &agent, Instant now) const;
+    [[nodiscard]] static bool matches(const AgentOffer &offer, const PlacementWish &wish);
+    [[nodiscard]] bool isWorthAsking(const Agent &agent, const RoomWish &wish, Instant now) const;
     void judge(Agent &agent, Instant now) const;
 
+    [[nodiscard]] std::optional<double> costOf(NodeId node, const Agent &agent, const PlacementWish &wish, Instant now) const;
+
     Options m_options;
+    std::minstd_rand m_random;
+    double m_sampledPart = 1; // of the agents, looked at for one choice
     std::map<NodeId, Agent> m_agents;
     std::map<LinkId, NodeId> m_byLink;
     WorkerHealth m_health;
--- a/include/lagoonroute/direct/direct.h
+++ b/include/lagoonroute/direct/direct.h
@@ -14,6 +14,7 @@
 #include <lagoonroute/direct/documentexchange.h>
 #include <lagoonroute/direct/entrycontacts.h>
 #include <lagoonroute/direct/linkmessages.h>
+#include <lagoonroute/direct/roomturns.h>
 #include <lagoonroute/direct/routetable.h>
 #include <lagoonroute/direct/upstreamcore.h>
 #include <lagoonroute/direct/upstreamevents.h>
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -188,6 +188,8 @@
     void pump(Instant now, EntryActions &actions);
     std::vector<JobPointer> queue(Instant now);
     bool placeTasks(const JobPointer &job, Instant now);
+    [[nodiscard]] static const DirectStep &nextStep(const Job &job);
+    static void addWish(std::vector<RoomWish> &wishes, const Job &job);
     void flushStarts(EntryActions &actions);
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
     void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
--- a/include/lagoonroute/direct/linkmessages.h
+++ b/include/lagoonroute/direct/linkmessages.h
@@ -38,6 +38,7 @@
 {
     Resources free;
     std::uint64_t startsHandled = 0;
+    bool isTurn = false; /**< Whether this entry alone is told, since it waits; it answers with starts or with RoomWanted. */
 
     auto operator<=>(const AgentRoom &) const = default;
 };
@@ -170,6 +171,16 @@
     auto operator<=>(const DocumentRequest &) const = default;
 };
 
+/** An entry has tasks that wait for room, or has none any more. */
+struct RoomWanted
+{
+    bool isWanted = false;
+    std::uint32_t priority = 0; /**< Of the most urgent task; 0 comes first. */
+    Resources need; /**< Least room that is of use. */
+
+    auto operator<=>(const RoomWanted &) const = default;
+};
+
 /** Entries that the sender knows, "ip:port". */
 struct EntryList
 {
@@ -193,7 +204,8 @@
                                  OfferDocument,
                                  EntryList,
                                  DocumentNotice,
-                                 DocumentRequest>;
+                                 DocumentRequest,
+                                 RoomWanted>;
 
 /** Number of a link within one process. */
 using LinkId = std::uint64_t;
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lagoonroute/direct/documentexchange.h>
+#include <lagoonroute/direct/roomturns.h>
 #include <lagoonroute/direct/runprogress.h>
 #include <lagoonroute/direct/upstreamevents.h>
 
@@ -34,7 +35,6 @@
         Duration lookWait = std::chrono::milliseconds(1000); /**< Of a look that waits for an end. */
         Duration progressInterval = std::chrono::milliseconds(100); /**< Without an answer to a look, after which one is made for progress. */
         Duration orderTimeout = std::chrono::milliseconds(40); /**< For an answer on the same host, where a round trip takes less than one. */
-        Duration roomInterval = std::chrono::milliseconds(4); /**< Least time between two statements of free room on a link. */
         Duration offerLifetime = std::chrono::milliseconds(5000); /**< Of a report; three reports may be lost. */
 
         Options withNode(std::string name, std::string availabilityZone, Incarnation life) const;
@@ -133,8 +133,6 @@
         std::uint64_t startsHandled = 0;
         Instant contactUntil; // starts are taken until then
         Instant lastBeat;
-        bool roomChanged = false;
-        Instant roomSaidAt;
     };
 
     struct OverRun
@@ -162,7 +160,6 @@
     void greet(Instant now, UpstreamActions &actions);
     void sayOffer(UpstreamActions &actions);
     void sayRoom(Instant now, UpstreamActions &actions);
-    void roomHasChanged();
     void spreadDocument(Instant now, UpstreamActions &actions);
     void dropLink(LinkId link, const std::string &reason, Instant now, UpstreamActions &actions);
     void recheckRuns(Instant now, UpstreamActions &actions);
@@ -207,6 +204,7 @@
     std::map<LinkId, Link> m_links;
     Resources m_used;
     AgentOffer m_saidOffer;
+    RoomTurns m_roomTurns{ RoomTurns::Options() };
     DocumentExchange m_documents; // nothing is read from the store here, so neighbours are asked at once
 };
 
--- a/modules/direct/agentboard.cpp
+++ b/modules/direct/agentboard.cpp
@@ -17,18 +17,27 @@
 constexpr double mostSlowness = 8;
 /** Share of the expected run time by which an agent in the own zone may be slower and still go first. */
 constexpr double zonePreference = 0.03;
+/** Agents that an entry looks at for one choice, times the agents for each entry: with one time, entries would hardly ever meet. */
+constexpr double sampledAgents = 2;
 
 bool hasLabel(const std::vector<std::string> &labels, const std::string &label)
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool matches(const AgentOffer &offer, const PlacementWish &wish)
+} // namespace
+
+bool AgentBoard::matches(const AgentOffer &offer, const PlacementWish &wish)
 {
     return offer.service == wish.service && (wish.requiredLabel.empty() || hasLabel(offer.labels, wish.requiredLabel));
 }
 
-} // namespace
+AgentBoard::Options AgentBoard::Options::withSeed(std::uint64_t number) const
+{
+    Options changed = *this;
+    changed.seed = number;
+    return changed;
+}
 
 AgentBoard::Options AgentBoard::Options::withZone(std::string name) const
 {
@@ -39,6 +48,7 @@
 
 AgentBoard::AgentBoard(Options options)
     : m_options(std::move(options))
+    , m_random(static_cast<std::minstd_rand::result_type>(m_options.seed))
     , m_health(m_options.ejection, m_options.straggler)
 {
 }
@@ -59,6 +69,8 @@
     agent.startsHandled = 0;
     agent.unhandled.clear();
     agent.runs = 0;
+    agent.wanted.reset();
+    agent.hasTurn = false;
     agent.lastBeat = now;
     m_byLink[link] = node;
     m_health.add(node, 1);
@@ -106,6 +118,10 @@
         return;
     }
     agent->free = room.free;
+    if (room.isTurn) {
+        agent->wanted.reset();
+        agent->hasTurn = true;
+    }
     while (agent->startsHandled < room.startsHandled && !agent->unhandled.empty()) {
         agent->unhandled.pop_front();
         ++agent->startsHandled;
@@ -146,45 +162,71 @@
     return !agent.isOnProbation || (now >= agent.suspendedUntil && agent.runs == 0);
 }
 
-std::optional<NodeId> AgentBoard::choose(const PlacementWish &wish, Instant now) const
+void AgentBoard::setEntries(std::size_t count)
 {
-    std::optional<NodeId> best;
-    double bestCost = 0;
-    for (const auto &[node, agent] : m_agents) {
-        if (!isUsable(agent, now) || !matches(agent.offer, wish)) {
-            continue;
-        }
-        const Resources free = room(agent);
-        if (!wish.need.fitsInto(free) || std::find(wish.excluded.begin(), wish.excluded.end(), node) != wish.excluded.end()) {
-            continue;
-        }
-        const WorkerHealth::Standing standing = m_health.standing(node, now);
-        const bool isBusy = !agent.unhandled.empty() || free < agent.offer.capacity;
-        if (standing.allowance == 0 || (standing.allowance == 1 && isBusy)) {
-            continue;
-        }
-        double cost = agent.slowness * standing.slowdown;
-        if (!wish.preferredLabel.empty() && !hasLabel(agent.offer.labels, wish.preferredLabel)) {
-            cost *= m_options.farFactor;
-        }
-        if (agent.zone != m_options.zone) {
-            cost *= 1 + zonePreference;
+    m_sampledPart = std::min(1.0, sampledAgents / static_cast<double>(std::max<std::size_t>(1, count)));
+}
+
+std::optional<double> AgentBoard::costOf(NodeId node, const Agent &agent, const PlacementWish &wish, Instant now) const
+{
+    if (!isUsable(agent, now) || !matches(agent.offer, wish)) {
+        return std::nullopt;
+    }
+    const Resources free = room(agent);
+    if (!wish.need.fitsInto(free) || std::find(wish.excluded.begin(), wish.excluded.end(), node) != wish.excluded.end()) {
+        return std::nullopt;
+    }
+    const WorkerHealth::Standing standing = m_health.standing(node, now);
+    const bool isBusy = !agent.unhandled.empty() || free < agent.offer.capacity;
+    if (standing.allowance == 0 || (standing.allowance == 1 && isBusy)) {
+        return std::nullopt;
+    }
+    double cost = agent.slowness * standing.slowdown;
+    if (!wish.preferredLabel.empty() && !hasLabel(agent.offer.labels, wish.preferredLabel)) {
+        cost *= m_options.farFactor;
+    }
+    if (agent.zone != m_options.zone) {
+        cost *= 1 + zonePreference;
+    }
+    // Among agents of like speed the emptier one goes first: other entries are less likely to fill it meanwhile.
+    const double emptiness = static_cast<double>(free.cpuMillis) / std::max(1U, agent.offer.capacity.cpuMillis);
+    return cost * (1 - (emptiness / 4));
+}
+
+std::optional<NodeId> AgentBoard::choose(const PlacementWish &wish, Instant now)
+{
+    struct Choice
+    {
+        std::optional<NodeId> node;
+        double cost = 0;
+
+        void consider(NodeId other, double otherCost)
+        {
+            if (!node || otherCost < cost) {
+                node = other;
+                cost = otherCost;
+            }
         }
-        // Among agents of like speed the emptier one goes first: other entries are less likely to fill it meanwhile.
-        const double emptiness = static_cast<double>(free.cpuMillis) / std::max(1U, agent.offer.capacity.cpuMillis);
-        cost *= 1 - (emptiness / 4);
-        if (!best || cost < bestCost) {
-            best = node;
-            bestCost = cost;
+    };
+    std::uniform_real_distribution<double> draw;
+    Choice sampled;
+    Choice any;
+    for (const auto &[node, agent] : m_agents) {
+        if (const auto cost = costOf(node, agent, wish, now)) {
+            any.consider(node, *cost);
+            if (m_sampledPart >= 1 || draw(m_random) < m_sampledPart) {
+                sampled.consider(node, *cost);
+            }
         }
     }
-    return best;
+    return sampled.node ? sampled.node : any.node;
 }
 
 void AgentBoard::startSent(NodeId node, const Resources &need)
 {
     Agent &agent = m_agents[node];
     ++agent.runs;
+    agent.hasTurn = false;
     agent.unhandled.push_back(need);
 }
 
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -23,6 +23,7 @@
 DirectEntryCore::Options DirectEntryCore::Options::withNode(std::string name, std::string ownAddress) const
 {
     Options changed = *this;
+    changed.board = changed.board.withSeed(NodeId::fromName(name).value);
     changed.node = std::move(name);
     changed.address = std::move(ownAddress);
     return changed;
@@ -60,6 +61,7 @@
 void DirectEntryCore::setPeers(std::size_t count)
 {
     m_peers = count;
+    m_board.setEntries(count + 1);
 }
 
 std::optional<DirectAnswer> DirectEntryCore::refusalOf(const RouteRule &route, const DirectJob &job, Instant now) const
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -120,21 +120,57 @@
     return std::clamp(doneWork(now), share, std::max(share, capacity));
 }
 
+const DirectStep &DirectEntryCore::nextStep(const Job &job)
+{
+    const auto task = std::find_if(job.tasks.begin(), job.tasks.end(), [](const Task &other) { return other.phase == TaskPhase::Waiting; });
+    return job.job.steps[task->step];
+}
+
+void DirectEntryCore::addWish(std::vector<RoomWish> &wishes, const Job &job)
+{
+    const DirectStep &step = nextStep(job);
+    const auto same = std::find_if(
+        wishes.begin(), wishes.end(), [&](const RoomWish &wish) { return wish.service == job.route.service && wish.requiredLabel == step.requiredLabel; });
+    if (same == wishes.end()) {
+        wishes.push_back(RoomWish{ job.route.service, step.requiredLabel, job.route.priority, step.need, job.waiting });
+        return;
+    }
+    same->tasks += job.waiting;
+    if (step.need.fitsInto(same->need)) {
+        same->need = step.need;
+    }
+}
+
 void DirectEntryCore::pump(Instant now, EntryActions &actions)
 {
     m_needsPump = false;
     const std::vector<JobPointer> ordered = queue(now);
     std::optional<std::uint32_t> blockedPriority;
+    std::vector<RoomWish> wishes;
+    const auto isTooLarge = [&wishes](const Job &job) {
+        const DirectStep &step = nextStep(job);
+        return std::any_of(wishes.begin(), wishes.end(), [&](const RoomWish &wish) {
+            return wish.service == job.route.service && wish.requiredLabel == step.requiredLabel && wish.need.fitsInto(step.need);
+        });
+    };
     for (const JobPointer &job : ordered) {
         if (blockedPriority && job->route.priority > *blockedPriority) {
             break; // nothing less urgent takes the room that a more urgent job waits for
         }
         const bool isOrdinary = job->job.steps.front().requiredLabel.empty();
-        if (!placeTasks(job, now) && isOrdinary && !blockedPriority) {
+        // What is no smaller than a task that found no room finds none either; each search looks at every agent.
+        if (!isTooLarge(*job) && placeTasks(job, now)) {
+            continue;
+        }
+        addWish(wishes, *job);
+        if (isOrdinary && !blockedPriority) {
             blockedPriority = job->route.priority;
         }
     }
     flushStarts(actions);
+    for (const AgentBoard::RoomRequest &request : m_board.requestRoom(wishes, now)) {
+        actions.emplace_back(SendOnLink{ request.link, request.wanted });
+    }
     reviewQueue(ordered, now, actions);
 }
 
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -89,7 +89,6 @@
     }
     m_hasReport = true;
     m_reportedAt = now;
-    roomHasChanged();
     if (m_phase == Phase::Unknown) {
         beginFencing(now, actions);
     }
@@ -127,7 +126,6 @@
 {
     m_phase = Phase::Fencing;
     m_strays = 0;
-    roomHasChanged();
     look(now, 0ms, actions);
 }
 
@@ -159,7 +157,6 @@
         }
     }
     m_phase = Phase::Fencing;
-    roomHasChanged();
 }
 
 void UpstreamCore::stalled(Instant now, UpstreamActions &actions)
@@ -175,7 +172,6 @@
     if (!std::exchange(m_isStopping, true)) {
         note(actions, "stop-begun", m_options.node, std::to_string(m_runs.size()) + " runs left");
     }
-    roomHasChanged();
     elapse(now, actions);
 }
 
@@ -188,7 +184,6 @@
     m_hasReport = false;
     m_phase = Phase::Unknown;
     m_strays = 0;
-    roomHasChanged();
 }
 
 bool UpstreamCore::isOpen() const
@@ -240,7 +235,6 @@
     if (m_hasReport && now - m_reportedAt > m_options.offerLifetime) {
         note(actions, "upstream-quiet", m_report.id, "no report for too long", true);
         m_hasReport = false;
-        roomHasChanged();
     }
     for (auto link = m_links.begin(); link != m_links.end();) {
         const auto current = link++;
@@ -296,16 +290,15 @@
         consider(link.contactUntil + Duration(1));
         if (link.greeted) {
             consider(link.lastBeat + m_options.beatInterval);
-            if (link.roomChanged) {
-                consider(link.roomSaidAt + m_options.roomInterval);
-            }
         }
     }
     if (m_hasReport) {
         consider(m_reportedAt + m_options.offerLifetime + Duration(1));
     }
-    if (const auto ask = m_documents.nextWake()) {
-        consider(*ask);
+    for (const auto &wake : { m_roomTurns.nextWake(), m_documents.nextWake() }) {
+        if (wake) {
+            consider(*wake);
+        }
     }
     return earliest;
 }
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -32,6 +32,7 @@
         return;
     }
     m_documents.closed(link);
+    m_roomTurns.close(link);
     for (auto &[task, run] : m_runs) {
         if (run.link == link) {
             requestStop(task, run, now, actions);
@@ -73,6 +74,8 @@
         if (run != m_runs.end() && run->second.run == stop->run && run->second.link == linkId) {
             requestStop(stop->task, run->second, now, actions);
         }
+    } else if (const auto *wanted = std::get_if<RoomWanted>(&message)) {
+        m_roomTurns.want(linkId, *wanted, now);
     } else if (const auto *offered = std::get_if<OfferDocument>(&message)) {
         m_documents.noticed(linkId, offered->version, now);
         m_documents.hold(*offered);
@@ -111,7 +114,7 @@
         link.greeted = true;
         link.contactUntil = now + m_options.linkSilence;
         link.lastBeat = now;
-        link.roomChanged = true;
+        m_roomTurns.open(id);
         actions.emplace_back(SendOnLink{ id, AgentHello{ m_options.node, m_options.zone, m_options.incarnation } });
         actions.emplace_back(SendOnLink{ id, offer() });
         actions.emplace_back(SendOnLink{ id, AgentBeat{ now.time_since_epoch().count() } });
@@ -130,26 +133,14 @@
     for (auto &[id, link] : m_links) {
         if (link.greeted) {
             actions.emplace_back(SendOnLink{ id, current });
-            link.roomChanged = true;
         }
     }
 }
 
-void UpstreamCore::roomHasChanged()
-{
-    for (auto &[id, link] : m_links) {
-        link.roomChanged = true;
-    }
-}
-
 void UpstreamCore::sayRoom(Instant now, UpstreamActions &actions)
 {
-    for (auto &[id, link] : m_links) {
-        if (link.greeted && link.roomChanged && now >= link.roomSaidAt + m_options.roomInterval) {
-            link.roomChanged = false;
-            link.roomSaidAt = now;
-            actions.emplace_back(SendOnLink{ id, AgentRoom{ freeRoom(), link.startsHandled } });
-        }
+    for (const RoomTurns::Statement &statement : m_roomTurns.due(freeRoom(), m_report.capacity, now)) {
+        actions.emplace_back(SendOnLink{ statement.link, AgentRoom{ statement.free, m_links[statement.link].startsHandled, statement.isTurn } });
     }
 }
 
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -40,7 +40,6 @@
         m_tokenStep = std::max(m_tokenStep * 2, firstTokenStep);
         m_token += m_tokenStep;
         m_phase = Phase::Fencing;
-        roomHasChanged();
         elapse(now, actions);
         return;
     case OrderResult::Refused:
@@ -57,7 +56,6 @@
     default:
         if (isNewest && ++m_failedLooks == tolerableFailedLooks + 1) {
             note(actions, "upstream-silent", m_report.id, std::to_string(m_failedLooks) + " looks had no answer", true);
-            roomHasChanged();
         }
         m_nextLookAt = m_failedLooks > tolerableFailedLooks ? now + lookRetry : now;
         elapse(now, actions);
@@ -65,7 +63,6 @@
     }
     if (std::exchange(m_failedLooks, 0U) > tolerableFailedLooks) {
         note(actions, "upstream-answers", m_report.id, "");
-        roomHasChanged();
     }
     m_lookedAt = now;
     if (answer.clock) {
@@ -97,7 +94,6 @@
     } else if (m_phase == Phase::Clearing && answer.running.empty()) {
         m_phase = Phase::Serving;
         note(actions, "upstream-serving", m_report.id, "token " + std::to_string(m_token));
-        roomHasChanged();
     }
     elapse(now, actions);
 }
@@ -176,9 +172,6 @@
             finish(current, RunEnd::Lost, "", actions);
         }
     }
-    if (m_strays > 0) {
-        roomHasChanged();
-    }
 }
 
 bool UpstreamCore::looksWait() const
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -114,7 +114,7 @@
 void UpstreamCore::startRun(LinkId linkId, Link &link, const StartTasks &order, const TaskStart &task, Instant now, UpstreamActions &actions)
 {
     ++link.startsHandled;
-    link.roomChanged = true;
+    m_roomTurns.startHandled(linkId, task.need);
     const DirectTaskId id{ order.job, task.step, task.index };
     if (const auto reason = refusalOf(id, task.need, link, now)) {
         refuse(linkId, id, task.run, *reason, actions);
@@ -125,7 +125,6 @@
     run.phaseLook = m_lastLook;
     run.progress = RunProgress(now);
     m_used = m_used + task.need;
-    roomHasChanged();
     extendLease(now);
     actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *leaseEndAt(now) });
 }
@@ -154,7 +153,6 @@
     }
     m_used = m_used - run->second.need;
     m_runs.erase(run);
-    roomHasChanged();
 }
 
 void UpstreamCore::finishUnstarted(std::map<DirectTaskId, Run>::iterator run, StartRefusal reason, UpstreamActions &actions)
@@ -164,7 +162,6 @@
     }
     m_used = m_used - run->second.need;
     m_runs.erase(run);
-    roomHasChanged();
 }
 
 void UpstreamCore::loseAllRuns(UpstreamActions &actions)
--- a/modules/transport/linkcodec.cpp
+++ b/modules/transport/linkcodec.cpp
@@ -34,7 +34,7 @@
 template <class Archive>
 void serialize(Archive &archive, AgentRoom &value)
 {
-    archive(value.free, value.startsHandled);
+    archive(value.free, value.startsHandled, value.isTurn);
 }
 
 template <class Archive>
@@ -91,6 +91,12 @@
     archive(value.task, value.run);
 }
 
+template <class Archive>
+void serialize(Archive &archive, RoomWanted &value)
+{
+    archive(value.isWanted, value.priority, value.need);
+}
+
 template <class Archive>
 void serialize(Archive &archive, DocumentNotice &value)
 {
--- a/modules/transport/tests/linktest.cpp
+++ b/modules/transport/tests/linktest.cpp
@@ -28,6 +28,7 @@
              OfferDocument{ 7, "{}" },
              DocumentNotice{ 7 },
              DocumentRequest{},
+             RoomWanted{ true, 2, { 6200, 64, 1 } },
              EntryList{ { "10.0.0.1:7000" } } };
 }
 
