Expected waits come from the measured rate of each priority; orders time out after 20 ms

Change: BacklogRate, one for each priority, measured while work waits; the assumed rate counts for 50 ms of measurement. An order on the same host takes under a millisecond; its time-out goes from 40 to 20 ms.

--- a/include/lagoonroute/direct/direct.h
+++ b/include/lagoonroute/direct/direct.h
@@ -8,6 +8,7 @@
  */
 
 #include <lagoonroute/direct/agentboard.h>
+#include <lagoonroute/direct/backlograte.h>
 #include <lagoonroute/direct/dialplan.h>
 #include <lagoonroute/direct/directentrycore.h>
 #include <lagoonroute/direct/directjob.h>
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lagoonroute/direct/agentboard.h>
+#include <lagoonroute/direct/backlograte.h>
 #include <lagoonroute/direct/routetable.h>
 #include <lagoonroute/direct/upstreamevents.h>
 #include <lagoonroute/placement/runtimeestimator.h>
@@ -191,6 +192,7 @@
     [[nodiscard]] static const DirectStep &nextStep(const Job &job);
     static void addWish(std::vector<RoomWish> &wishes, const Job &job);
     void flushStarts(EntryActions &actions);
+    void measureBacklogs(const std::vector<JobPointer> &ordered, Instant now);
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
     void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
     void learnFromSiblings(Job &job, const Task &task, Instant now);
@@ -214,6 +216,14 @@
         Instant until;
     };
 
+    /** Work of the jobs of one priority. */
+    struct Backlog
+    {
+        BacklogRate rate;
+        double started = 0; // since the rate was last told
+        bool isWaiting = false; // after the last placement
+    };
+
     struct PendingStart
     {
         LinkId link = 0;
@@ -234,6 +244,7 @@
     std::size_t m_peers = 0;
     bool m_needsPump = false;
     Instant m_nextReview;
+    std::map<std::uint32_t, Backlog> m_backlogs; // by priority
     double m_doneWork = 0; // of ended runs, smoothed, per microsecond
     Instant m_doneAt;
 };
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -34,7 +34,7 @@
         Duration beatInterval = std::chrono::milliseconds(200); /**< A link survives two lost beats. */
         Duration lookWait = std::chrono::milliseconds(1000); /**< Of a look that waits for an end. */
         Duration progressInterval = std::chrono::milliseconds(100); /**< Without an answer to a look, after which one is made for progress. */
-        Duration orderTimeout = std::chrono::milliseconds(40); /**< For an answer on the same host, where a round trip takes less than one. */
+        Duration orderTimeout = std::chrono::milliseconds(20); /**< For an answer on the same host, where a round trip takes less than one. */
         Duration offerLifetime = std::chrono::milliseconds(5000); /**< Of a report; three reports may be lost. */
 
         Options withNode(std::string name, std::string availabilityZone, Incarnation life) const;
--- /dev/null
+++ b/modules/direct/backlograte.cpp
@@ -0,0 +1,39 @@
+#include <lagoonroute/direct/backlograte.h>
+
+#include <cmath>
+
+namespace lagoonroute
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Over which the rate is smoothed; a burst is over within seconds. */
+constexpr Duration smoothingTime = 500ms;
+/** Weight of the expected rate, as a time of measurement. */
+constexpr Duration expectationTime = 50ms;
+
+} // namespace
+
+void BacklogRate::observe(double startedWork, bool hadBacklog, Instant now)
+{
+    const auto passed = static_cast<double>((now - m_observedAt).count());
+    const double kept = std::exp(-passed / static_cast<double>(smoothingTime.count()));
+    m_observedAt = now;
+    m_work *= kept;
+    m_time *= kept;
+    if (hadBacklog) {
+        m_work += startedWork;
+        m_time += passed;
+    }
+}
+
+double BacklogRate::rate(double expected) const
+{
+    const auto weight = static_cast<double>(expectationTime.count());
+    return (m_work + (expected * weight)) / (m_time + weight);
+}
+
+} // namespace lagoonroute
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -92,6 +92,7 @@
         --job->waiting;
         ++job->active;
         job->work -= task.work;
+        m_backlogs[job->route.priority].started += task.work;
         job->hasStarted = true;
         m_board.startSent(*chosen, wish.need);
         auto pending = std::find_if(m_pendingStarts.begin(), m_pendingStarts.end(), [&](const PendingStart &other) {
@@ -168,16 +169,30 @@
         }
     }
     flushStarts(actions);
+    measureBacklogs(ordered, now);
     for (const AgentBoard::RoomRequest &request : m_board.requestRoom(wishes, now)) {
         actions.emplace_back(SendOnLink{ request.link, request.wanted });
     }
     reviewQueue(ordered, now, actions);
 }
 
+void DirectEntryCore::measureBacklogs(const std::vector<JobPointer> &ordered, Instant now)
+{
+    for (auto &[priority, backlog] : m_backlogs) {
+        backlog.rate.observe(std::exchange(backlog.started, 0.0), backlog.isWaiting, now);
+        backlog.isWaiting = false;
+    }
+    for (const JobPointer &job : ordered) {
+        if (job->waiting > 0) {
+            m_backlogs[job->route.priority].isWaiting = true;
+        }
+    }
+}
+
 void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
 {
-    double ahead = 0;
-    std::map<std::string, double> rates;
+    std::map<std::uint32_t, double> aheadOf; // work of the same priority, in its order
+    std::map<std::string, double> rates; // while nothing is measured; 0 while no agent of the service takes starts
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
@@ -186,7 +201,8 @@
         if (isNew) {
             known->second = workRate(job->route.service, now);
         }
-        const double rate = known->second; // 0 while no agent of the service takes starts
+        double &ahead = aheadOf[job->route.priority];
+        const double rate = known->second > 0 ? m_backlogs[job->route.priority].rate.rate(known->second) : 0;
         const auto wait = rate > 0 ? Duration(static_cast<Duration::rep>(ahead / rate)) : Duration(0);
         ahead += job->work;
         if (job->hasStarted) {
--- /dev/null
+++ b/modules/direct/tests/backlogratetest.cpp
@@ -0,0 +1,54 @@
+#include <lagoonroute/direct/direct.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonroute;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Instant start{ std::chrono::seconds(100) };
+
+/** Tells a rate what was started in each of so many spans of 10 ms. */
+Instant observe(BacklogRate &rate, double startedWork, bool hadBacklog, int spans, Instant from)
+{
+    for (int span = 0; span < spans; ++span) {
+        from += 10ms;
+        rate.observe(startedWork, hadBacklog, from);
+    }
+    return from;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(BacklogRateTest)
+
+BOOST_AUTO_TEST_CASE(TheExpectedRateCountsUntilWorkHasWaited)
+{
+    BacklogRate rate;
+    rate.observe(0, false, start);
+    observe(rate, 1000, false, 100, start);
+    BOOST_TEST(rate.rate(7) == 7);
+}
+
+// Pattern: other entries and more urgent work take most of what an entry counts on. What it expected to start in time was late.
+BOOST_AUTO_TEST_CASE(TheMeasuredRateCountsOnceWorkHasWaited)
+{
+    BacklogRate rate;
+    rate.observe(0, false, start);
+    observe(rate, 20'000, true, 100, start); // 2 a microsecond
+    BOOST_TEST(rate.rate(10) < 3.5);
+    BOOST_TEST(rate.rate(10) > 2);
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasMeasuredLongAgoDoesNotCount)
+{
+    BacklogRate rate;
+    rate.observe(0, false, start);
+    const Instant later = observe(rate, 20'000, true, 100, start);
+    rate.observe(0, false, later + 5s);
+    BOOST_TEST(rate.rate(10) > 9.9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
