Entries ask any agents for room

Cause: every entry asked the fastest agents first, so all asked the same ones, and room that came free elsewhere was told to entries that had nothing to start.

Change: agents are asked in random order, six for each waiting task instead of two.

--- a/modules/direct/roomwishes.cpp
+++ b/modules/direct/roomwishes.cpp
@@ -10,7 +10,7 @@
 {
 
 /** Agents asked for room for each task that waits, so that the first room to come free is among them with good odds. */
-constexpr std::size_t wishesPerTask = 2;
+constexpr std::size_t wishesPerTask = 6;
 /** Times the wishes that are needed, above which wishes are withdrawn: one that is not used costs the upstream a turn. */
 constexpr std::size_t tolerableWishes = 2;
 
@@ -51,7 +51,8 @@
             requests.push_back(RoomRequest{ agent.link, wanted });
         }
     }
-    std::stable_sort(others.begin(), others.end(), [](const Agent *left, const Agent *right) { return left->slowness < right->slowness; });
+    // In any order: entries that all asked the same agents would leave the room of the others unused.
+    std::shuffle(others.begin(), others.end(), m_random);
     for (Agent *agent : others) {
         for (std::size_t position = 0; position < wishes.size(); ++position) {
             const RoomWish &wish = wishes[position];
