--- a/modules/direct/tests/directsimulation.h
+++ b/modules/direct/tests/directsimulation.h
@@ -232,4 +232,17 @@
     double m_wastedWork = 0;
 };
 
+template <typename Host>
+void DirectSimulation::onNode(Host &host, std::uint64_t life, std::function<void()> action)
+{
+    if (!host.isUp || host.life != life) {
+        return;
+    }
+    if (host.isFrozen) {
+        host.whileFrozen.push_back(std::move(action));
+        return;
+    }
+    action();
+}
+
 } // namespace lagoonroute
--- /dev/null
+++ b/modules/direct/tests/hostfaultstest.cpp
@@ -0,0 +1,121 @@
+#include "deployment.h"
+
+using namespace lagoonroute;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(HostFaultsTest)
+
+BOOST_AUTO_TEST_CASE(TheRunsOfAKilledEntryAreStoppedBeforeAResubmissionStartsThem)
+{
+    Deployment deployment;
+    const std::size_t first = deployment.simulation.submit(0, "hold", deployment.job(4, 3000ms), 3000ms, 5s);
+    deployment.simulation.runFor(100ms);
+    deployment.simulation.killEntry(0, 2s);
+    deployment.simulation.runFor(1300ms);
+    const std::size_t second = deployment.simulation.submitAgain(1, first, 5s);
+    deployment.simulation.runFor(5s);
+    BOOST_TEST((deployment.submission(second).answer.verdict == DirectVerdict::Completed));
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(TheRunsOfAFrozenEntryAreStoppedBeforeAResubmissionStartsThem)
+{
+    Deployment deployment;
+    const std::size_t first = deployment.simulation.submit(0, "hold", deployment.job(4, 3000ms), 3000ms, 9s);
+    deployment.simulation.runFor(100ms);
+    deployment.simulation.freezeEntry(0, 4s);
+    deployment.simulation.runFor(1300ms);
+    const std::size_t second = deployment.simulation.submitAgain(1, first, 5s);
+    deployment.simulation.runFor(8s);
+    BOOST_TEST((deployment.submission(second).answer.verdict == DirectVerdict::Completed));
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenAgentStartsNothingOfWhatWaitedForIt)
+{
+    Deployment deployment;
+    std::vector<std::size_t> positions;
+    for (std::size_t count = 0; count < 30; ++count) {
+        positions.push_back(deployment.simulation.submit(count % 3, "hold", deployment.job(3, 900ms), 900ms, 9s));
+    }
+    deployment.simulation.freezeAgent(0, 4s);
+    deployment.simulation.freezeAgent(1, 4s);
+    deployment.simulation.runFor(12s);
+    for (const std::size_t position : positions) {
+        BOOST_TEST(deployment.submission(position).answeredAt.has_value());
+    }
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AKilledAgentIsReplacedAndItsTasksRunAgain)
+{
+    Deployment deployment;
+    const std::size_t position = deployment.simulation.submit(0, "hold", deployment.job(1, 2000ms), 2000ms, 9s);
+    deployment.simulation.runFor(100ms);
+    const std::size_t agent = deployment.agentRunning();
+    BOOST_REQUIRE(agent < 11);
+    deployment.simulation.killAgent(agent, 200ms);
+    deployment.simulation.runFor(8s);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+    BOOST_TEST(deployment.simulation.starts({ deployment.submission(position).job, 0, 0 }) == 2U);
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedAgentServesBeforeItsUpstreamReportsAgain)
+{
+    Deployment deployment;
+    for (std::size_t agent = 0; agent < 11; ++agent) {
+        deployment.simulation.killAgent(agent, 100ms);
+    }
+    deployment.simulation.runFor(300ms);
+    for (std::size_t agent = 0; agent < 11; ++agent) {
+        BOOST_TEST(deployment.simulation.agentCore(agent).isOpen(), "agent " << agent);
+    }
+    // A report of an earlier life of the upstream does not hold.
+    deployment.simulation.killAgent(3, 100ms);
+    deployment.simulation.crashUpstream(3, 50ms);
+    deployment.simulation.runFor(3s);
+    BOOST_TEST(deployment.simulation.agentCore(3).isOpen());
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnAgentThatIsGoneForGoodIsForgotten)
+{
+    Deployment deployment;
+    BOOST_TEST(deployment.simulation.entryCore(0).board().agents().size() == 11U);
+    deployment.simulation.killAgent(3, 1h);
+    deployment.simulation.runFor(30s);
+    BOOST_TEST(deployment.simulation.entryCore(0).board().agents().size() == 11U);
+    deployment.simulation.runFor(40s);
+    BOOST_TEST(deployment.simulation.entryCore(0).board().agents().size() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(ACutLinkLeadsToARunElsewhereOnlyWhenTheFirstIsOver)
+{
+    Deployment deployment;
+    const std::size_t position = deployment.simulation.submit(0, "hold", deployment.job(1, 3000ms), 3000ms, 9s);
+    deployment.simulation.runFor(100ms);
+    const std::size_t agent = deployment.agentRunning();
+    BOOST_REQUIRE(agent < 11);
+    deployment.simulation.cutLink(0, agent, 6s);
+    deployment.simulation.runFor(9s);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+    BOOST_TEST(deployment.simulation.starts({ deployment.submission(position).job, 0, 0 }) == 2U);
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamRebornUnderItsIdIsMetAsANewLife)
+{
+    Deployment deployment;
+    const std::size_t position = deployment.simulation.submit(0, "hold", deployment.job(1, 1000ms), 1000ms, 9s);
+    deployment.simulation.runFor(100ms);
+    const std::size_t agent = deployment.agentRunning();
+    BOOST_REQUIRE(agent < 11);
+    deployment.simulation.crashUpstream(agent, 300ms);
+    deployment.simulation.runFor(4s);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+    BOOST_TEST(deployment.simulation.agentCore(agent).isOpen());
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
