Requests for room are reviewed and added in two steps; one type for a message on a link

The review of kept requests and the adding of new ones stood in one function of 45 lines, and RoomRequest repeated SendOnLink. No behaviour changes.

--- a/include/lagoonroute/direct/agentboard.h
+++ b/include/lagoonroute/direct/agentboard.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <lagoonroute/base/identifiers.h>
-#include <lagoonroute/direct/linkmessages.h>
+#include <lagoonroute/direct/upstreamevents.h>
 #include <lagoonroute/placement/workerhealth.h>
 
 #include <deque>
@@ -80,15 +80,6 @@
         Duration suspension{ 0 }; /**< Doubles with each suspension in a row. */
     };
 
-    /** A message about the room that is wanted. */
-    struct RoomRequest
-    {
-        LinkId link = 0;
-        RoomWanted wanted;
-
-        auto operator<=>(const RoomRequest &) const = default;
-    };
-
     explicit AgentBoard(Options options);
 
     /** An agent has greeted on a link. Returns its identity. */
@@ -117,7 +108,7 @@
     [[nodiscard]] std::optional<NodeId> choose(const PlacementWish &wish, Instant now);
 
     /** Asks some agents for room, and withdraws what is not wanted any more. Returns the messages to send. */
-    std::vector<RoomRequest> requestRoom(const std::vector<RoomWish> &wishes, Instant now);
+    std::vector<SendOnLink> requestRoom(const std::vector<RoomWish> &wishes, Instant now);
 
     /** Notes that a start was sent to the agent. */
     void startSent(NodeId node, const Resources &need);
@@ -164,6 +155,8 @@
     [[nodiscard]] bool isWorthAsking(const Agent &agent, const RoomWish &wish, Instant now) const;
     void judge(Agent &agent, Instant now) const;
 
+    void reviewRequests(const std::vector<RoomWish> &wishes, Instant now, std::vector<std::size_t> &asked, std::vector<SendOnLink> &messages);
+    void addRequests(const std::vector<RoomWish> &wishes, Instant now, std::vector<std::size_t> &asked, std::vector<SendOnLink> &messages);
     [[nodiscard]] std::optional<double> costOf(NodeId node, const Agent &agent, const PlacementWish &wish, Instant now) const;
 
     Options m_options;
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -170,8 +170,8 @@
     }
     flushStarts(actions);
     measureBacklogs(ordered, now);
-    for (const AgentBoard::RoomRequest &request : m_board.requestRoom(wishes, now)) {
-        actions.emplace_back(SendOnLink{ request.link, request.wanted });
+    for (SendOnLink &request : m_board.requestRoom(wishes, now)) {
+        actions.emplace_back(std::move(request));
     }
     reviewQueue(ordered, now, actions);
 }
--- a/modules/direct/roomwishes.cpp
+++ b/modules/direct/roomwishes.cpp
@@ -24,51 +24,64 @@
         && m_health.standing(NodeId::fromName(agent.name), now).allowance > 0;
 }
 
-std::vector<AgentBoard::RoomRequest> AgentBoard::requestRoom(const std::vector<RoomWish> &wishes, Instant now)
+std::vector<SendOnLink> AgentBoard::requestRoom(const std::vector<RoomWish> &wishes, Instant now)
 {
-    std::vector<RoomRequest> requests;
-    std::vector<std::size_t> kept(wishes.size());
-    std::vector<Agent *> others;
-    for (auto &[node, agent] : m_agents) {
-        if (agent.link == 0) {
-            continue;
-        }
-        if (!agent.wanted) {
-            others.push_back(&agent);
+    std::vector<SendOnLink> messages;
+    std::vector<std::size_t> asked(wishes.size()); // agents, for each wish
+    reviewRequests(wishes, now, asked, messages);
+    addRequests(wishes, now, asked, messages);
+    return messages;
+}
+
+/** Withdraws what is wanted no more, and tells of a more or less urgent wish. */
+void AgentBoard::reviewRequests(const std::vector<RoomWish> &wishes, Instant now, std::vector<std::size_t> &asked, std::vector<SendOnLink> &messages)
+{
+    for (auto &item : m_agents) {
+        Agent &agent = item.second;
+        if (agent.link == 0 || !agent.wanted) {
             continue;
         }
         const auto wish = std::find_if(wishes.begin(), wishes.end(), [&](const RoomWish &other) { return isWorthAsking(agent, other, now); });
-        const std::size_t position = static_cast<std::size_t>(wish - wishes.begin());
-        if (wish == wishes.end() || kept[position] >= wish->tasks * wishesPerTask * tolerableWishes) {
+        const auto position = static_cast<std::size_t>(wish - wishes.begin());
+        if (wish == wishes.end() || asked[position] >= wish->tasks * wishesPerTask * tolerableWishes) {
             agent.wanted.reset();
-            requests.push_back(RoomRequest{ agent.link, RoomWanted{} });
+            messages.push_back(SendOnLink{ agent.link, RoomWanted{} });
             continue;
         }
-        ++kept[position];
+        ++asked[position];
         const RoomWanted wanted{ true, wish->priority, wish->need };
         if (agent.wanted->priority != wanted.priority) {
             agent.wanted = wanted;
-            requests.push_back(RoomRequest{ agent.link, wanted });
+            messages.push_back(SendOnLink{ agent.link, wanted });
+        }
+    }
+}
+
+/** Asks more agents where too few are asked, and declines the turns that were not used. */
+void AgentBoard::addRequests(const std::vector<RoomWish> &wishes, Instant now, std::vector<std::size_t> &asked, std::vector<SendOnLink> &messages)
+{
+    std::vector<Agent *> others;
+    for (auto &[node, agent] : m_agents) {
+        if (agent.link != 0 && !agent.wanted) {
+            others.push_back(&agent);
         }
     }
     // In any order: entries that all asked the same agents would leave the room of the others unused.
     std::shuffle(others.begin(), others.end(), m_random);
     for (Agent *agent : others) {
-        for (std::size_t position = 0; position < wishes.size(); ++position) {
+        for (std::size_t position = 0; position < wishes.size() && !agent->wanted; ++position) {
             const RoomWish &wish = wishes[position];
-            if (kept[position] < wish.tasks * wishesPerTask && isWorthAsking(*agent, wish, now)) {
-                ++kept[position];
+            if (asked[position] < wish.tasks * wishesPerTask && isWorthAsking(*agent, wish, now)) {
+                ++asked[position];
                 agent->wanted = RoomWanted{ true, wish.priority, wish.need };
-                agent->hasTurn = false;
-                requests.push_back(RoomRequest{ agent->link, *agent->wanted });
-                break;
+                agent->hasTurn = false; // the message ends the turn as well
+                messages.push_back(SendOnLink{ agent->link, *agent->wanted });
             }
         }
         if (std::exchange(agent->hasTurn, false)) {
-            requests.push_back(RoomRequest{ agent->link, RoomWanted{} }); // the room is for others
+            messages.push_back(SendOnLink{ agent->link, RoomWanted{} });
         }
     }
-    return requests;
 }
 
 } // namespace lagoonroute
