An unexpected error costs its own request, link or turn, not the process

Cause: nothing stood between a handler that throws and the event loop. An exception in a handler of HTTP, of a link or in a turn of a direct role left run() and ended the process, with every request that it held. Ruled out: the decoders, whose faults are MalformedMessage and were caught already (tests/fuzz). Change: runContained() runs a loop and logs what leaves a handler as handler-failed; a request whose handler fails is answered with 500 (request-failed); a link whose message fails is closed; a failed turn is repeated after 20 ms. The decision threads of the roles with homes are not covered: an exception in a core there still ends the process.

--- a/modules/app/directloop.cpp
+++ b/modules/app/directloop.cpp
@@ -1,5 +1,7 @@
 #include <lagoonroute/app/directloop.h>
 
+#include <lagoonroute/network/containedrun.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -22,6 +24,8 @@
 
 /** Longest time without a turn, so that a stall can be told from an idle time. */
 constexpr Duration longestPause = 200ms;
+/** Pause after an unexpected error, so that one that recurs does not take the processor. */
+constexpr Duration faultPause = 20ms;
 /** How often the settings file is looked at; it may change without a signal. */
 constexpr Duration settingsInterval = 1s;
 
@@ -71,7 +75,8 @@
     {
         const auto work = boost::asio::make_work_guard(m_context);
         requestTurn();
-        m_context.run();
+        // A turn that failed has not set the timer; the next one is due after a pause.
+        runContained(m_context, [this] { armTimer(MonotonicClock::nowWithSuspension() + faultPause, MonotonicClock::nowWithSuspension()); });
     }
 
     void finish()
--- a/modules/http/httpsession.cpp
+++ b/modules/http/httpsession.cpp
@@ -1,8 +1,11 @@
 #include "httpsession.h"
 
+#include <lagoonroute/observation/log.h>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace lagoonroute
@@ -124,7 +127,12 @@
     ++m_state->busy;
     const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request));
     m_exchange = exchange;
-    m_state->handler(exchange);
+    try {
+        m_state->handler(exchange);
+    } catch (const std::exception &error) {
+        logLine(LogLevel::Error, "request-failed", { { "target", exchange->request().target }, { "fault", error.what() } });
+        exchange->respond(HttpResponse{ .status = 500, .body = R"({"title":"internal error","status":500})" });
+    }
 }
 
 void HttpSession::refuse(beast::error_code error)
--- a/modules/http/tests/sharedlooptest.cpp
+++ b/modules/http/tests/sharedlooptest.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <stdexcept>
 
 using namespace lagoonroute;
 using namespace std::chrono_literals;
@@ -20,6 +21,9 @@
         : server(loop,
                  HttpServer::Options().withAddress({ "127.0.0.1", 0 }),
                  [this](const std::shared_ptr<HttpExchange> &exchange) {
+                     if (exchange->request().target == "/fault") {
+                         throw std::runtime_error("unexpected");
+                     }
                      if (exchange->request().target == "/later") {
                          open = exchange;
                      } else {
@@ -99,4 +103,13 @@
     BOOST_TEST(!silent->isRefused);
 }
 
+BOOST_AUTO_TEST_CASE(AnUnexpectedErrorCostsItsOwnRequestOnly)
+{
+    SharedLoop shared;
+    const auto faulty = shared.call("/fault");
+    BOOST_REQUIRE(faulty->response.has_value());
+    BOOST_TEST(faulty->response->status == 500U);
+    BOOST_TEST(shared.call("/")->response->body == "body");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/network/eventloop.cpp
+++ b/modules/network/eventloop.cpp
@@ -1,5 +1,7 @@
 #include <lagoonroute/network/eventloop.h>
 
+#include <lagoonroute/network/containedrun.h>
+
 namespace lagoonroute
 {
 
@@ -15,7 +17,7 @@
 
 void EventLoop::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { runContained(m_context); });
 }
 
 void EventLoop::stop()
--- a/modules/transport/linkconnection.cpp
+++ b/modules/transport/linkconnection.cpp
@@ -119,6 +119,9 @@
         } catch (const MalformedMessage &) {
             lose();
             return;
+        } catch (...) {
+            lose(); // whoever runs the loop logs the error
+            throw;
         }
     }
     m_received.erase(0, position);
