A notice that an upstream has left proves no run to be over, and outlives a restart of its agent

Cause: the notice names an upstream but no life. One of an earlier life that came late (an agent that was paused reads its connections in any order) made the agent give up every run at once: the entries started them elsewhere while they still ran. The reverse also held: after the notice, a report from before it was held up was adopted, and an agent that was restarted took the kept report of the store as if nothing had left. A report of the same life for another service replaced the known one. An echo of a time to come would have kept a link in contact without end. Change: after the notice nothing is started; runs go on until the upstream's own list, or a refused connection, shows that they are over. A report needs a higher number to open the upstream again. The kept report is stored as draining. Tests, failing before: ALateNoticeThatAnEarlierLifeHasLeftGivesUpNoRun (two starts), AnUpstreamThatHasLeftIsNotUsedAfter ARestartOfItsAgent, AReportOfAnotherServiceOrALateOneChangesNothing, AnEchoOfATimeToComeExtendsNoContact, AResubmissionOfAJobThatHasStartedIsNotToldThatItHasNotRun.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -207,15 +207,18 @@
     [[nodiscard]] double workRate(const std::string &service, Instant now) const;
     [[nodiscard]] static DirectAnswer timeIsOver(const Job &job);
     void reviewAgents(Instant now, EntryActions &actions);
-    void rememberAnswer(const std::string &job, const DirectAnswer &answer, Instant now);
+    void rememberAnswer(const std::string &job, std::optional<DirectAnswer> answer, Instant now);
     void note(EntryActions &actions, std::string event, std::string subject, std::string detail, bool isWarning = false) const;
 
+    /** What a resubmission of a job is told. */
     struct KeptAnswer
     {
-        DirectAnswer answer;
+        std::optional<DirectAnswer> answer; // nothing: the job has started, and its client account left before the answer
         Instant until;
     };
 
+    [[nodiscard]] const KeptAnswer *keptAnswer(const std::string &job, Instant now) const;
+
     /** Work of the jobs of one priority. */
     struct Backlog
     {
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -53,6 +53,7 @@
 
     /** The upstream reported itself. Reports of an earlier life, or older than the newest, change nothing. */
     void handle(const UpstreamReport &report, Instant now, UpstreamActions &actions);
+    /** The upstream said that it has left: nothing is started there until it reports again. */
     void handle(const UpstreamLeft &left, Instant now, UpstreamActions &actions);
     void handle(const StartAnswered &answer, Instant now, UpstreamActions &actions);
     void handle(const StopAnswered &answer, Instant now, UpstreamActions &actions);
@@ -170,6 +171,7 @@
     void dropLink(LinkId link, const std::string &reason, Instant now, UpstreamActions &actions);
     void recheckRuns(Instant now, UpstreamActions &actions);
     void adopt(const UpstreamReport &report, Instant now, UpstreamActions &actions);
+    void keep(const UpstreamReport &report, UpstreamActions &actions);
     void meetLife(std::int64_t born, Instant now, UpstreamActions &actions);
     void useRecalled(Instant now, UpstreamActions &actions);
     void lookSoon(Instant now, Duration delay);
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -88,9 +88,9 @@
 
 void DirectEntryCore::submit(RequestId request, const RouteRule &route, const DirectJob &job, Duration patience, Instant now, EntryActions &actions)
 {
-    const auto kept = m_answers.find(job.id);
-    if (kept != m_answers.end() && now < kept->second.until) {
-        actions.emplace_back(AnswerRequest{ request, job.id, kept->second.answer });
+    const KeptAnswer *kept = keptAnswer(job.id, now);
+    if (kept != nullptr && kept->answer) {
+        actions.emplace_back(AnswerRequest{ request, job.id, *kept->answer });
         return;
     }
     const auto known = m_jobs.find(job.id);
@@ -112,12 +112,17 @@
         elapse(now, actions);
         return;
     }
-    if (const auto refusal = refusalOf(route, job, now)) {
+    const bool hasStarted = kept != nullptr;
+    if (auto refusal = refusalOf(route, job, now)) {
+        if (hasStarted) {
+            refusal->verdict = DirectVerdict::TimedOut; // "not run" would not be true
+        }
         note(actions, "refused", job.id, refusal->reason);
         actions.emplace_back(AnswerRequest{ request, job.id, *refusal });
         return;
     }
     const JobPointer admitted = admit(route, job, patience, now);
+    admitted->hasStarted = hasStarted;
     admitted->requests.push_back(request);
     m_byRequest[request] = admitted;
     m_jobs[job.id] = admitted;
@@ -200,6 +205,9 @@
     job->requests.erase(std::remove(job->requests.begin(), job->requests.end(), request), job->requests.end());
     if (job->requests.empty() && !job->isClosed) {
         note(actions, "abandoned", job->job.id, "the client account closed its connection");
+        if (job->hasStarted) {
+            rememberAnswer(job->job.id, std::nullopt, now);
+        }
         closeJob(job, actions);
     }
     elapse(now, actions);
@@ -252,13 +260,19 @@
     closeJob(job, actions);
 }
 
-void DirectEntryCore::rememberAnswer(const std::string &job, const DirectAnswer &answer, Instant now)
+const DirectEntryCore::KeptAnswer *DirectEntryCore::keptAnswer(const std::string &job, Instant now) const
+{
+    const auto kept = m_answers.find(job);
+    return kept != m_answers.end() && now < kept->second.until ? &kept->second : nullptr;
+}
+
+void DirectEntryCore::rememberAnswer(const std::string &job, std::optional<DirectAnswer> answer, Instant now)
 {
     while (!m_answered.empty() && (m_answers[m_answered.front()].until <= now || m_answered.size() >= m_options.maxKeptAnswers)) {
         m_answers.erase(m_answered.front());
         m_answered.pop_front();
     }
-    if (m_answers.insert_or_assign(job, KeptAnswer{ answer, now + m_options.answerRetention }).second) {
+    if (m_answers.insert_or_assign(job, KeptAnswer{ std::move(answer), now + m_options.answerRetention }).second) {
         m_answered.push_back(job);
     }
 }
--- a/modules/direct/tests/directsimulation.h
+++ b/modules/direct/tests/directsimulation.h
@@ -94,6 +94,9 @@
     void failUpstream(std::size_t agent, Duration duration);
     void drainUpstream(std::size_t agent);
 
+    /** Tells the agent that its upstream has left, while the upstream runs on: the notice of an earlier life comes late. */
+    void tellThatUpstreamLeft(std::size_t agent);
+
     /** For a time, the share of orders to upstreams that get no answer, and are carried out 2 to 12 s later or at once. */
     void loseOrders(double share, bool carriedOutLate, Duration duration);
 
--- a/modules/direct/tests/directsimulationfaults.cpp
+++ b/modules/direct/tests/directsimulationfaults.cpp
@@ -134,6 +134,13 @@
     m_agents[agent].isDraining = true;
 }
 
+void DirectSimulation::tellThatUpstreamLeft(std::size_t agent)
+{
+    AgentHost &host = m_agents[agent];
+    host.core->handle(UpstreamLeft{ host.upstream->report(false, 0).id }, m_now, host.actions);
+    actAgent(agent);
+}
+
 void DirectSimulation::loseOrders(double share, bool carriedOutLate, Duration duration)
 {
     m_lostShare = share;
--- a/modules/direct/tests/hostfaultstest.cpp
+++ b/modules/direct/tests/hostfaultstest.cpp
@@ -104,6 +104,64 @@
     deployment.checkNoViolation();
 }
 
+BOOST_AUTO_TEST_CASE(ALateNoticeThatAnEarlierLifeHasLeftGivesUpNoRun)
+{
+    Deployment deployment;
+    const std::size_t position = deployment.simulation.submit(0, "hold", deployment.job(1, 2000ms), 2000ms, 9s);
+    deployment.simulation.runFor(100ms);
+    const std::size_t agent = deployment.agentRunning();
+    BOOST_REQUIRE(agent < 11);
+    deployment.simulation.tellThatUpstreamLeft(agent);
+    BOOST_TEST(!deployment.simulation.agentCore(agent).isOpen());
+    deployment.simulation.runFor(6s);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+    BOOST_TEST(deployment.simulation.starts({ deployment.submission(position).job, 0, 0 }) == 1U);
+    BOOST_TEST(deployment.simulation.agentCore(agent).isOpen()); // by its next report
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatHasLeftAndIsGoneGivesItsRunsUpAtOnce)
+{
+    Deployment deployment;
+    const std::size_t position = deployment.simulation.submit(0, "hold", deployment.job(1, 900ms), 900ms, 9s);
+    deployment.simulation.runFor(100ms);
+    const std::size_t agent = deployment.agentRunning();
+    BOOST_REQUIRE(agent < 11);
+    deployment.simulation.crashUpstream(agent, 1h);
+    deployment.simulation.tellThatUpstreamLeft(agent);
+    deployment.simulation.runFor(1300ms);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+    deployment.checkNoViolation();
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatHasLeftIsNotUsedAfterARestartOfItsAgent)
+{
+    Deployment deployment;
+    deployment.simulation.tellThatUpstreamLeft(3);
+    deployment.simulation.runFor(20ms);
+    deployment.simulation.killAgent(3, 50ms);
+    for (int step = 0; step < 30; ++step) {
+        deployment.simulation.runFor(10ms);
+        BOOST_TEST(!deployment.simulation.agentCore(3).isOpen());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AResubmissionOfAJobThatHasStartedIsNotToldThatItHasNotRun)
+{
+    Deployment deployment;
+    const std::size_t first = deployment.simulation.submit(0, "hold", deployment.job(2, 900ms), 900ms, 3s);
+    deployment.simulation.runFor(200ms);
+    deployment.simulation.leave(first);
+    for (std::size_t agent = 0; agent < 11; ++agent) {
+        deployment.simulation.drainUpstream(agent);
+    }
+    deployment.simulation.runFor(3s);
+    const std::size_t second = deployment.simulation.submitAgain(0, first, 3s);
+    deployment.simulation.runFor(4s);
+    BOOST_REQUIRE(deployment.submission(second).answeredAt.has_value());
+    BOOST_TEST((deployment.submission(second).answer.verdict == DirectVerdict::TimedOut));
+}
+
 BOOST_AUTO_TEST_CASE(AnUpstreamRebornUnderItsIdIsMetAsANewLife)
 {
     Deployment deployment;
--- a/modules/direct/tests/partstest.cpp
+++ b/modules/direct/tests/partstest.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace lagoonroute;
 using namespace std::chrono_literals;
 
@@ -134,4 +136,45 @@
     BOOST_TEST(readEntryContacts("no address\n\n").empty());
 }
 
+BOOST_AUTO_TEST_CASE(AReportOfAnotherServiceOrALateOneChangesNothing)
+{
+    UpstreamCore core(UpstreamCore::Options().withNode("agent", "plateau", 1));
+    UpstreamActions actions;
+    const UpstreamReport first{
+        .id = "u", .born = 5, .sequence = 7, .service = "s", .zone = "z", .capacity = { 1000, 10, 0 }, .labels = {}, .isDraining = false
+    };
+    core.handle(first, start, actions);
+    for (int step = 0; step < 3; ++step) {
+        core.handle(LookAnswered{ .look = 1, .result = OrderResult::Accepted, .clock = 1000, .born = 5, .running = {}, .ended = {} }, start, actions);
+    }
+    BOOST_REQUIRE(core.isOpen());
+    UpstreamReport foreign = first;
+    foreign.sequence = 1000;
+    foreign.service = "other";
+    foreign.capacity = { 9000, 90, 0 };
+    core.handle(foreign, start, actions);
+    BOOST_TEST((core.freeRoom() == first.capacity));
+    UpstreamReport draining = first;
+    draining.sequence = 8;
+    draining.isDraining = true;
+    core.handle(draining, start, actions);
+    BOOST_TEST(!core.isOpen());
+    core.handle(UpstreamLeft{ "u" }, start, actions);
+    core.handle(first, start, actions); // sent before it drained, and held up on its way
+    BOOST_TEST(!core.isOpen());
+}
+
+BOOST_AUTO_TEST_CASE(AnEchoOfATimeToComeExtendsNoContact)
+{
+    UpstreamCore core(UpstreamCore::Options().withNode("agent", "plateau", 1));
+    UpstreamActions actions;
+    core.openLink(1, start, actions);
+    core.receive(1, EntryHello{ "entry", "10.0.0.1:1" }, start, actions);
+    core.elapse(start, actions);
+    core.receive(1, EntryEcho{ (start + 1h).time_since_epoch().count() }, start, actions);
+    actions.clear();
+    core.elapse(start + 3s, actions);
+    BOOST_TEST(std::any_of(actions.begin(), actions.end(), [](const UpstreamAction &action) { return std::holds_alternative<CloseLink>(action); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -60,8 +60,8 @@
 
 void UpstreamCore::handle(const UpstreamReport &report, Instant now, UpstreamActions &actions)
 {
-    const bool isSameLife = m_hasReport && report.id == m_report.id && report.born == m_report.born;
-    if (isSameLife && report.sequence <= m_report.sequence) {
+    const bool isSameLife = report.id == m_report.id && report.born == m_report.born;
+    if (isSameLife && (report.sequence <= m_report.sequence || report.service != m_report.service)) {
         return;
     }
     if (m_born != 0 && report.born != 0 && report.born != m_born) {
@@ -81,17 +81,23 @@
         note(actions, "upstream-report", report.id, report.isDraining ? "draining" : "ready");
     }
     m_report = report;
+    keep(report, actions);
+    m_hasReport = true;
+    m_reportedAt = now;
+    if (m_phase == Phase::Unknown) {
+        beginFencing(now, actions);
+    }
+}
+
+/** Gives a report out for the next life of the agent. */
+void UpstreamCore::keep(const UpstreamReport &report, UpstreamActions &actions)
+{
     UpstreamReport kept = report;
     kept.sequence = 0; // a next life takes every report that follows
     if (report.born != 0 && kept != m_kept) {
         m_kept = kept;
         actions.emplace_back(KeepReport{ kept });
     }
-    m_hasReport = true;
-    m_reportedAt = now;
-    if (m_phase == Phase::Unknown) {
-        beginFencing(now, actions);
-    }
 }
 
 void UpstreamCore::recall(const UpstreamReport &kept, Instant now, UpstreamActions &actions)
@@ -107,7 +113,8 @@
         return;
     }
     const UpstreamReport kept = *std::exchange(m_recalled, std::nullopt);
-    if (!m_hasReport && kept.born == m_born) {
+    const bool hasLeft = m_report.born == kept.born; // or has gone quiet since
+    if (!m_hasReport && !hasLeft && kept.born == m_born) {
         m_kept = kept;
         adopt(kept, now, actions);
     }
@@ -118,7 +125,14 @@
     if (!m_hasReport || left.id != m_report.id) {
         return;
     }
-    loseUpstream("left", actions);
+    // The notice names no life: it may be an earlier one's that was held up. So nothing is started until a newer report
+    // comes, and what runs goes on until the upstream's own list, or the lack of one, shows that it is over.
+    note(actions, "upstream-left", m_report.id, std::to_string(m_runs.size()) + " runs listed last", true);
+    m_hasReport = false;
+    UpstreamReport last = m_report;
+    last.isDraining = true;
+    keep(last, actions);
+    lookSoon(now, 0ms);
     elapse(now, actions);
 }
 
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -64,7 +64,8 @@
         link.address = hello->address;
         link.contactUntil = now + greetingTime;
     } else if (const auto *echo = std::get_if<EntryEcho>(&message)) {
-        link.contactUntil = std::max(link.contactUntil, Instant(Duration(echo->clock)) + m_options.linkSilence);
+        const Instant beatSent = std::min(Instant(Duration(echo->clock)), now);
+        link.contactUntil = std::max(link.contactUntil, beatSent + m_options.linkSilence);
     } else if (const auto *start = std::get_if<StartTasks>(&message)) {
         for (const TaskStart &task : start->tasks) {
             startRun(linkId, link, *start, task, now, actions);
