After a pause a home's complete answer waits for the mirror, as its starts do

Ruled out: a second run of the task (each started once), the mirror's record (the answer was never recorded). Change: mayTell(): unrecorded, a complete answer is told only while the home is undisputed: its mirror has refused nothing, and has acknowledged the probe that a pause of more than a second leads to. Else it waits for its record.

--- a/benchmarks/direct/patterns.cpp
+++ b/benchmarks/direct/patterns.cpp
@@ -121,6 +121,18 @@
           },
           6,
           30 },
+        { "35 entries, burst of all x 1.3", 1.3, false, false, {}, 35, 160 },
+        { "35 entries, a quarter gone in a burst",
+          1.3,
+          true,
+          false,
+          [](DirectSimulation &simulation, Workload &) {
+              for (std::size_t agent = 0; agent < 160; agent += 4) {
+                  simulation.crashUpstream(agent, faultTime);
+              }
+          },
+          35,
+          160 },
     };
 }
 
--- a/modules/dispatch/homeimplementation.h
+++ b/modules/dispatch/homeimplementation.h
@@ -78,6 +78,8 @@
     void withdrawRest(const JobId &id, ActiveJob &job, Reason reason, bool stopStarted, Instant now);
     void settle(const JobId &id, JobRecord &record);
     void answer(const JobId &id, JobRecord &record, JobAnswer answer);
+    [[nodiscard]] bool mayTell(const JobRecord &record) const;
+    [[nodiscard]] bool isUndisputed() const;
     void tellWaiting(const JobId &id, JobRecord &record, Actions &actions) const;
     void releaseAnswers(Instant now, Actions &actions);
     void forget(Instant now);
@@ -121,7 +123,7 @@
     std::optional<Duration> m_wallOffset; /**< Calendar time less the time of this process. */
     std::optional<Instant> m_lostAt;
     Instant m_lastEvent;
-    std::uint64_t m_probe = 0; /**< Record that the mirror must acknowledge before anything starts. */
+    std::uint64_t m_probe = 0; /**< Record that the mirror must acknowledge before anything starts or is told unrecorded. */
     std::size_t m_bytes = 0;
     std::deque<PendingStart> m_pendingStarts;
     std::deque<HeldAnswer> m_heldAnswers;
--- a/modules/dispatch/homejobs.cpp
+++ b/modules/dispatch/homejobs.cpp
@@ -209,8 +209,7 @@
 
 void HomeCore::Implementation::attach(JobRecord &record, const JobId &id, const RequestId &request, Actions &actions) const
 {
-    const bool isAnswered = record.answer && (!record.active || record.answer->outcome == Outcome::Complete);
-    if (isAnswered) {
+    if (record.answer && mayTell(record)) {
         reply(request, id, *record.answer, actions);
         return;
     }
@@ -284,6 +283,20 @@
     m_heldAnswers.push_back({ id, number });
 }
 
+bool HomeCore::Implementation::mayTell(const JobRecord &record) const
+{
+    // A complete answer stays the same after a change of home, since the workers keep the results until it is
+    // recorded. Any other could turn out differently at the next home, so it waits for the mirror. After a pause of this
+    // home so does a complete one: the next home may have counted a worker as lost that went on.
+    const bool isRecorded = !record.active;
+    return isRecorded || (record.answer->outcome == Outcome::Complete && isUndisputed());
+}
+
+bool HomeCore::Implementation::isUndisputed() const
+{
+    return !link.isRefused() && (m_probe == 0 || link.isAcknowledged(m_probe));
+}
+
 void HomeCore::Implementation::tellWaiting(const JobId &id, JobRecord &record, Actions &actions) const
 {
     for (const RequestId &request : record.active->waiting) {
@@ -294,12 +307,12 @@
 
 void HomeCore::Implementation::releaseAnswers(Instant now, Actions &actions)
 {
-    // A complete answer stays the same after a change of home, since the workers keep the results until it is
-    // recorded. Any other could turn out differently at the next home, so it waits for the mirror.
-    for (const JobId &id : m_completed) {
-        tellWaiting(id, jobs.at(id), actions);
+    for (const JobId &id : std::exchange(m_completed, {})) {
+        JobRecord &record = jobs.at(id);
+        if (mayTell(record)) {
+            tellWaiting(id, record, actions);
+        }
     }
-    m_completed.clear();
     while (!m_heldAnswers.empty() && link.isAcknowledged(m_heldAnswers.front().record)) {
         const JobId id = m_heldAnswers.front().job;
         m_heldAnswers.pop_front();
--- a/modules/dispatch/tests/fencingtest.cpp
+++ b/modules/dispatch/tests/fencingtest.cpp
@@ -170,6 +170,30 @@
     BOOST_TEST(sent<StartTask>(actions).size() == 1U);
 }
 
+// A home that stood still may have been replaced, and its own host counted as lost: the next home then answers "worker-lost".
+BOOST_AUTO_TEST_CASE(ACompleteAnswerWaitsForTheMirrorAfterAPause)
+{
+    for (const bool isReplaced : { false, true }) {
+        HomeFixture fixture;
+        fixture.give(MessageReceived{ entry, submission(1) });
+        fixture.acknowledge();
+        BOOST_REQUIRE(sent<StartTask>(fixture.actions).size() == 1U);
+        fixture.now += seconds(3);
+        fixture.give(MessageReceived{ worker, TaskFinished{ .shard = shard, .epoch = 1, .task = { job, 0 } } });
+        BOOST_TEST(sent<AnswerRequest>(fixture.actions).empty());
+        fixture.give(MessageReceived{ entry, submission(2) });
+        BOOST_TEST(sent<AnswerRequest>(fixture.actions).empty());
+        if (isReplaced) {
+            fixture.give(MessageReceived{ mirror, MirrorUpdated{ shard, 1, 0, false } });
+            BOOST_TEST(sent<AnswerRequest>(fixture.actions).empty());
+            continue;
+        }
+        fixture.acknowledge();
+        BOOST_REQUIRE(sent<AnswerRequest>(fixture.actions).size() == 2U);
+        BOOST_TEST((sent<AnswerRequest>(fixture.actions).front().answer.outcome == Outcome::Complete));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(HomeWithoutMirrorStartsOnlyWithinItsLease)
 {
     HomeCore core(home, ShardView{ shard, 1, home, NodeId{} }, ServiceRules::Builder("booking").build(), 1);
