A new entry forecasts no waits while agents still greet it; no Retry-After beyond 30 s

Time without any known agent had counted as time in which work waited and none started, so that the expected wait was 7,600 to 1,360,000 s, and was sent as Retry-After. Ruled out: room (every upstream was empty), the store (routes were there 0.1 s after the start). Change: for 1.5 s after the start of a process, or until no agent has opened for 300 ms, nothing is refused for its wait and no rate is measured. Retry-After is 30 s at most.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -62,6 +62,7 @@
         Duration moveCost = std::chrono::milliseconds(60); /**< To stop a run and start it elsewhere: 50 ms for the stop, and the ways. */
         std::uint32_t maxMoves = 2; /**< Of one task; more would throw away more work than they save. */
         Duration startTime = std::chrono::milliseconds(1500); /**< After the start of the process, in which it waits for agents to greet. */
+        Duration settleTime = std::chrono::milliseconds(300); /**< Without a further agent that opens, after which the start is over sooner. */
         Duration routesTime = std::chrono::milliseconds(500); /**< After the start of the process, in which requests wait for the first routes; a narrow link
                                                                    and 2,000 routes take 350 ms. */
         double usefulFactor = 1.25; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
@@ -203,6 +204,7 @@
     void reviewRuns(Instant now, EntryActions &actions);
     void expire(Instant now, EntryActions &actions);
     [[nodiscard]] PlacementWish wishOf(const Job &job, const Task &task) const;
+    [[nodiscard]] bool isStarting(Instant now) const;
     [[nodiscard]] double doneWork(Instant now) const;
     [[nodiscard]] double workRate(const std::string &service, Instant now) const;
     [[nodiscard]] static DirectAnswer timeIsOver(const Job &job);
@@ -244,6 +246,7 @@
     std::map<LinkId, Instant> m_strangers; // links that have not greeted, and when they opened
     std::vector<PendingStart> m_pendingStarts;
     std::optional<Instant> m_startedAt; // first elapse() of this process
+    std::optional<Instant> m_lastOpened; // when an agent last began to take starts
     std::size_t m_peers = 0;
     bool m_needsPump = false;
     Instant m_nextReview;
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -58,6 +58,15 @@
     return m_routes.version() == 0 && now < until ? std::optional(until) : std::nullopt;
 }
 
+/** Whether agents are still greeting this process, so that neither room nor rate is known. */
+bool DirectEntryCore::isStarting(Instant now) const
+{
+    if (!m_startedAt || now >= *m_startedAt + m_options.startTime) {
+        return false;
+    }
+    return !m_lastOpened || now < *m_lastOpened + m_options.settleTime;
+}
+
 void DirectEntryCore::setPeers(std::size_t count)
 {
     m_peers = count;
@@ -73,8 +82,8 @@
         return DirectAnswer{ DirectVerdict::NotRun, "overloaded", shortestRetryAfter };
     }
     if (m_board.openAgents() == 0) {
-        if (m_startedAt && now - *m_startedAt < m_options.startTime) {
-            return std::nullopt; // agents greet within moments of the start
+        if (isStarting(now)) {
+            return std::nullopt; // agents greet within moments
         }
         return DirectAnswer{ DirectVerdict::NotRun, "no-worker", shortestRetryAfter };
     }
@@ -332,6 +341,9 @@
         actions.emplace_back(SendOnLink{ link, EntryEcho{ beat->clock } });
     } else if (const auto *offer = std::get_if<AgentOffer>(&message)) {
         note(actions, "agent-offer", agent->name, offer->isOpen ? "open" : "closed");
+        if (offer->isOpen) {
+            m_lastOpened = now;
+        }
         m_board.setOffer(link, *offer);
         m_needsPump = true;
     } else if (const auto *room = std::get_if<AgentRoom>(&message)) {
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -179,6 +179,7 @@
 void DirectEntryCore::measureBacklogs(const std::vector<JobPointer> &ordered, Instant now)
 {
     for (auto &[priority, backlog] : m_backlogs) {
+        backlog.isWaiting = backlog.isWaiting && !isStarting(now);
         backlog.rate.observe(std::exchange(backlog.started, 0.0), backlog.isWaiting, now);
         backlog.isWaiting = false;
     }
@@ -191,6 +192,9 @@
 
 void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
 {
+    if (isStarting(now)) {
+        return;
+    }
     std::map<std::uint32_t, double> aheadOf; // work of the same priority, in its order
     std::map<std::string, double> rates; // while nothing is measured; 0 while no agent of the service takes starts
     for (const JobPointer &job : ordered) {
@@ -213,7 +217,7 @@
             continue;
         }
         ahead -= job->work;
-        const Duration backlog = std::max(shortestRetryAfter, wait);
+        const Duration backlog = std::clamp(wait, shortestRetryAfter, longestRetryAfter);
         note(actions,
              "refused",
              job->job.id,
--- a/modules/direct/directtimes.h
+++ b/modules/direct/directtimes.h
@@ -13,6 +13,9 @@
 /** Least time that a refusal asks a client account to wait: a shorter one would only come back into the same queue. */
 inline constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
 
+/** Most time that a refusal asks a client account to wait: a forecast of more says only that the service is short of room now. */
+inline constexpr Duration longestRetryAfter = std::chrono::seconds(30);
+
 /** Head start in the queue of a small job over a large one of the same priority, at most. */
 inline constexpr Duration largestHeadStart = std::chrono::milliseconds(120);
 
