An event that fails costs itself, not the process, in the roles with homes too

Cause: an exception that left a core on its decision thread ended the process. Change: DecisionThread logs event-failed and goes on with the next event; it pauses for a millisecond, so that an event that is due again at once does not take the processor. Test: DecisionThreadTest/GoesOnAfterAnEventThatFails, which ended the test program before.

--- a/modules/app/decisionthread.h
+++ b/modules/app/decisionthread.h
@@ -4,9 +4,11 @@
 #include <lagoonroute/base/time.h>
 #include <lagoonroute/base/wakesignal.h>
 #include <lagoonroute/dispatch/events.h>
+#include <lagoonroute/observation/log.h>
 
 #include <atomic>
 #include <concepts>
+#include <exception>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -114,6 +116,7 @@
 private:
     static constexpr std::size_t controlCapacity = 4096;
     static constexpr Duration publishInterval = std::chrono::milliseconds(500);
+    static constexpr Duration faultPause = std::chrono::milliseconds(1);
 
     void run()
     {
@@ -121,7 +124,7 @@
             const auto decide = [this](Event &&event) {
                 const Instant now = MonotonicClock::now();
                 m_observer.observe(event, now);
-                m_core.handle(event, now, m_actions);
+                handle(event, now);
                 perform(now);
             };
             m_control.drain(decide);
@@ -137,6 +140,17 @@
         }
     }
 
+    /** An unexpected error costs the event that led to it, not the process. */
+    void handle(const Event &event, Instant now)
+    {
+        try {
+            m_core.handle(event, now, m_actions);
+        } catch (const std::exception &error) {
+            logLine(LogLevel::Error, "event-failed", { { "fault", error.what() } });
+            std::this_thread::sleep_for(faultPause); // an event that is due again at once must not take the processor
+        }
+    }
+
     /** Lets the observer read the state of the core, once in a while. */
     void publish()
     {
