An agent beats on all its links at once

Each link had a beat of its own phase: 35 links are 175 wake-ups a second before any work. Test: DirectPartsTest/TheBeatsOfAllLinksShareTheirWakeUps, 349 wake-ups in 2 s with 35 links before, 11 at most now.

--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -139,7 +139,6 @@
         bool greeted = false;
         std::uint64_t startsHandled = 0;
         Instant contactUntil; // starts are taken until then
-        Instant lastBeat;
     };
 
     struct OverRun
@@ -164,6 +163,7 @@
     [[nodiscard]] bool wasOverLately(const DirectTaskId &task, std::uint32_t run, Instant now) const;
     void extendLease(Instant now);
     void keepLease(Instant now, UpstreamActions &actions);
+    void beat(Instant now, UpstreamActions &actions);
     void greet(Instant now, UpstreamActions &actions);
     void sayOffer(UpstreamActions &actions);
     void sayRoom(Instant now, UpstreamActions &actions);
@@ -211,6 +211,7 @@
     std::map<DirectTaskId, Run> m_runs;
     std::deque<OverRun> m_lately; // runs that ended lately: a list made before may still name them
     std::map<LinkId, Link> m_links;
+    Instant m_beatAt; // when beats were last due
     Resources m_used;
     AgentOffer m_saidOffer;
     RoomTurns m_roomTurns{ RoomTurns::Options() };
--- a/modules/direct/tests/partstest.cpp
+++ b/modules/direct/tests/partstest.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 using namespace lagoonroute;
 using namespace std::chrono_literals;
@@ -164,6 +166,43 @@
     BOOST_TEST(!core.isOpen());
 }
 
+// Pattern: an agent with links to many entries that came one after the other. Each link had a wake-up of its own for its beats.
+BOOST_AUTO_TEST_CASE(TheBeatsOfAllLinksShareTheirWakeUps)
+{
+    UpstreamCore core(UpstreamCore::Options().withNode("agent", "plateau", 1));
+    UpstreamActions actions;
+    constexpr LinkId links = 35;
+    Instant now = start;
+    core.elapse(now, actions);
+    now += 1200ms; // by then nothing of an earlier life can run
+    for (LinkId link = 1; link <= links; ++link) {
+        now += 3ms;
+        core.openLink(link, now, actions);
+        core.receive(link, EntryHello{ "entry-" + std::to_string(link), "10.0.0.1:1" }, now, actions);
+    }
+    BOOST_REQUIRE(core.entries() == links);
+    std::map<LinkId, std::vector<Instant>> beats;
+    std::set<Instant> wakeUps;
+    for (const Instant end = now + 2s; now < end; now += 1ms) {
+        actions.clear();
+        core.elapse(now, actions);
+        for (const UpstreamAction &action : actions) {
+            const auto *send = std::get_if<SendOnLink>(&action);
+            if (send != nullptr && std::holds_alternative<AgentBeat>(send->message)) {
+                beats[send->link].push_back(now);
+                wakeUps.insert(now);
+                core.receive(send->link, EntryEcho{ now.time_since_epoch().count() }, now, actions);
+            }
+        }
+    }
+    BOOST_TEST(wakeUps.size() <= 11U); // one for each 200 ms
+    for (const auto &[link, times] : beats) {
+        for (std::size_t index = 1; index < times.size(); ++index) {
+            BOOST_TEST((times[index] - times[index - 1] <= 201ms));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnEchoOfATimeToComeExtendsNoContact)
 {
     UpstreamCore core(UpstreamCore::Options().withNode("agent", "plateau", 1));
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -262,13 +262,22 @@
         look(now, !looksWait() ? Duration(0) : (m_runs.empty() ? m_options.idleLookWait : m_options.busyLookWait), actions);
     }
     keepLease(now, actions);
+    beat(now, actions);
     greet(now, actions);
     sayOffer(actions);
     sayRoom(now, actions);
     spreadDocument(now, actions);
-    for (auto &[id, link] : m_links) {
-        if (link.greeted && now >= link.lastBeat + m_options.beatInterval) {
-            link.lastBeat = now;
+}
+
+/** Beats on all links at once, so that they share a wake-up. */
+void UpstreamCore::beat(Instant now, UpstreamActions &actions)
+{
+    if (now < m_beatAt + m_options.beatInterval) {
+        return;
+    }
+    m_beatAt = now;
+    for (const auto &[id, link] : m_links) {
+        if (link.greeted) {
             actions.emplace_back(SendOnLink{ id, AgentBeat{ now.time_since_epoch().count() } });
         }
     }
@@ -302,7 +311,7 @@
     for (const auto &[id, link] : m_links) {
         consider(link.contactUntil + Duration(1));
         if (link.greeted) {
-            consider(link.lastBeat + m_options.beatInterval);
+            consider(m_beatAt + m_options.beatInterval);
         }
     }
     if (m_hasReport) {
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -114,7 +114,6 @@
         }
         link.greeted = true;
         link.contactUntil = now + m_options.linkSilence;
-        link.lastBeat = now;
         m_roomTurns.open(id);
         actions.emplace_back(SendOnLink{ id, AgentHello{ m_options.node, m_options.zone, m_options.incarnation } });
         actions.emplace_back(SendOnLink{ id, offer() });
