A job for a label waits until agents have greeted before it is called never runnable

Cause: an entry that had met one agent refused as never-runnable, for good, what only a later one can run (a label, a size). Change: while agents greet, jobs are taken; what no agent could run is refused at once when the start is over. Test: RecoveryTest/AJobForALabelWaitsUntilItsUpstreamHasGreeted, failing before.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -163,6 +163,7 @@
         std::size_t active = 0; // Sent, Stopping or Unproven
         std::size_t done = 0;
         bool hasStarted = false;
+        bool isFitUnknown = false; // taken while agents were still greeting
         bool isClosed = false; // answered or given up
         double work = 0; // thousandths of a processor times microseconds, of the tasks that wait
         Instant sortKey;
@@ -171,6 +172,7 @@
     using JobPointer = std::shared_ptr<Job>;
 
     JobPointer admit(const RouteRule &route, const DirectJob &job, Duration patience, Instant now);
+    [[nodiscard]] bool couldEverRun(const RouteRule &route, const DirectJob &job) const;
     [[nodiscard]] std::optional<DirectAnswer> refusalOf(const RouteRule &route, const DirectJob &job, Instant now) const;
     Task *findTask(const DirectTaskId &id, JobPointer &job);
     void taskEnded(NodeId agent, const TaskEnded &end, Instant now, EntryActions &actions);
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -81,20 +81,25 @@
     if (m_jobs.size() >= m_options.maxJobs) {
         return DirectAnswer{ DirectVerdict::NotRun, "overloaded", shortestRetryAfter };
     }
+    if (isStarting(now)) {
+        return std::nullopt; // agents greet within moments
+    }
     if (m_board.openAgents() == 0) {
-        if (isStarting(now)) {
-            return std::nullopt; // agents greet within moments
-        }
         return DirectAnswer{ DirectVerdict::NotRun, "no-worker", shortestRetryAfter };
     }
-    for (const DirectStep &step : job.steps) {
-        if (!m_board.couldFit(PlacementWish{ .service = route.service, .need = step.need, .requiredLabel = step.requiredLabel })) {
-            return DirectAnswer{ DirectVerdict::NotRun, "never-runnable", shortestRetryAfter };
-        }
+    if (!couldEverRun(route, job)) {
+        return neverRunnable();
     }
     return std::nullopt;
 }
 
+bool DirectEntryCore::couldEverRun(const RouteRule &route, const DirectJob &job) const
+{
+    return std::all_of(job.steps.begin(), job.steps.end(), [&](const DirectStep &step) {
+        return m_board.couldFit(PlacementWish{ .service = route.service, .need = step.need, .requiredLabel = step.requiredLabel });
+    });
+}
+
 void DirectEntryCore::submit(RequestId request, const RouteRule &route, const DirectJob &job, Duration patience, Instant now, EntryActions &actions)
 {
     const KeptAnswer *kept = keptAnswer(job.id, now);
@@ -132,6 +137,7 @@
     }
     const JobPointer admitted = admit(route, job, patience, now);
     admitted->hasStarted = hasStarted;
+    admitted->isFitUnknown = isStarting(now);
     admitted->requests.push_back(request);
     m_byRequest[request] = admitted;
     m_jobs[job.id] = admitted;
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -201,6 +201,12 @@
         if (job->waiting == 0 || job->isClosed) {
             continue;
         }
+        if (std::exchange(job->isFitUnknown, false) && !job->hasStarted && !couldEverRun(job->route, job->job)) {
+            const DirectAnswer refusal = neverRunnable();
+            note(actions, "refused", job->job.id, refusal.reason);
+            answer(job, refusal, now, actions);
+            continue;
+        }
         const auto [known, isNew] = rates.try_emplace(job->route.service);
         if (isNew) {
             known->second = workRate(job->route.service, now);
--- a/modules/direct/tests/recoverytest.cpp
+++ b/modules/direct/tests/recoverytest.cpp
@@ -32,4 +32,55 @@
     deployment.checkNoViolation();
 }
 
+BOOST_AUTO_TEST_CASE(AJobForALabelWaitsUntilItsUpstreamHasGreeted)
+{
+    DirectEntryCore core(DirectEntryCore::Options().withNode("entry", "10.0.0.1:1"));
+    EntryActions actions;
+    Instant now(100s);
+    RouteRule rule;
+    rule.name = "hold";
+    rule.service = "booking";
+    rule.timeout = 3s;
+    rule.stretch = 1.6;
+    const auto greet = [&](LinkId link, const std::string &name, const std::string &label) {
+        core.openLink(link, now, actions);
+        core.receive(link, AgentHello{ name, "plateau", 1 }, now, actions);
+        core.receive(link, AgentBeat{ now.time_since_epoch().count() }, now, actions);
+        core.receive(link, AgentOffer{ true, "booking", { 64'000, 1024, 0 }, { label } }, now, actions);
+        core.receive(link, AgentRoom{ { 64'000, 1024, 0 }, 0, false }, now, actions);
+    };
+    const auto answers = [&] {
+        return std::count_if(actions.begin(), actions.end(), [](const EntryAction &action) { return std::holds_alternative<AnswerRequest>(action); });
+    };
+    const auto jobFor = [](const std::string &id, const std::string &label) {
+        DirectJob job;
+        job.id = id;
+        DirectStep step;
+        step.count = 1;
+        step.need = { 6000, 64, 0 };
+        step.estimate = 900ms;
+        step.requiredLabel = label;
+        job.steps.push_back(step);
+        return job;
+    };
+    core.elapse(now, actions);
+    greet(1, "agent-1", "a");
+    core.submit(1, rule, jobFor("job-1", "b"), 3s, now, actions);
+    core.submit(2, rule, jobFor("job-2", "c"), 3s, now, actions);
+    BOOST_TEST(answers() == 0);
+    now += 100ms;
+    greet(2, "agent-2", "b");
+    core.elapse(now, actions);
+    BOOST_TEST(std::any_of(actions.begin(), actions.end(), [](const EntryAction &action) {
+        const auto *send = std::get_if<SendOnLink>(&action);
+        return send != nullptr && send->link == 2 && std::holds_alternative<StartTasks>(send->message);
+    }));
+    now += 400ms; // no agent has come for longer than the settle time
+    core.elapse(now, actions);
+    BOOST_REQUIRE(answers() == 1);
+    const auto refused = std::find_if(actions.begin(), actions.end(), [](const EntryAction &action) { return std::holds_alternative<AnswerRequest>(action); });
+    BOOST_TEST(std::get<AnswerRequest>(*refused).request == 2U);
+    BOOST_TEST(std::get<AnswerRequest>(*refused).answer.reason == "never-runnable");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
