A job stays in the queue while it can end within two objectives, behind all that can be on time

Cause: a short job that found every upstream taken was refused after 1.25 objectives, a few tens of milliseconds late, while its client account waits for 1.5 s and more. Late jobs stand behind those of their priority that can be on time, so keeping them costs little. Change: usefulFactor 1.25 -> 2.

--- a/benchmarks/direct/patterns.h
+++ b/benchmarks/direct/patterns.h
@@ -20,6 +20,8 @@
     std::function<void(DirectSimulation &, Workload &)> begin; /**< After two calm seconds; may be empty. */
     std::size_t entries = 3;
     std::size_t agents = 11; /**< The rates grow with them. */
+    Duration loadTime = std::chrono::seconds(12);
+    Duration settleTime = std::chrono::seconds(8); /**< In which jobs under way end. */
 };
 
 /** What a pattern came to. */
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -65,7 +65,7 @@
         Duration settleTime = std::chrono::milliseconds(300); /**< Without a further agent that opens, after which the start is over sooner. */
         Duration routesTime = std::chrono::milliseconds(500); /**< After the start of the process, in which requests wait for the first routes; a narrow link
                                                                    and 2,000 routes take 350 ms. */
-        double usefulFactor = 1.25; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
+        double usefulFactor = 2; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
 
         Options withNode(std::string name, std::string ownAddress) const;
         Options withZone(const std::string &zone) const;
