While agents greet a new entry, jobs past their use are refused as ever; only the forecast is left out

Every client account that was cut off comes back at once: twice the load for 1.3 s. Kept without a limit, jobs past their use took the room of those that could still be on time. Change: a new entry counts no wait, but a job whose own time is over is refused as in any other second. Tests: RecoveryTest and OverloadTest hold as they are.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -196,6 +196,7 @@
     static void addWish(std::vector<RoomWish> &wishes, const Job &job);
     void flushStarts(EntryActions &actions);
     void measureBacklogs(const std::vector<JobPointer> &ordered, Instant now);
+    [[nodiscard]] bool hasTurnedOutUnfit(Job &job, Instant now) const;
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
     void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
     void learnFromSiblings(Job &job, const Task &task, Instant now);
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -190,18 +190,25 @@
     }
 }
 
-void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
+/** Whether a job that was taken while agents greeted is one that none of them could run. */
+bool DirectEntryCore::hasTurnedOutUnfit(Job &job, Instant now) const
 {
-    if (isStarting(now)) {
-        return;
+    if (!job.isFitUnknown || isStarting(now)) {
+        return false;
     }
+    job.isFitUnknown = false;
+    return !job.hasStarted && !couldEverRun(job.route, job.job);
+}
+
+void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
+{
     std::map<std::uint32_t, double> aheadOf; // work of the same priority, in its order
-    std::map<std::string, double> rates; // while nothing is measured; 0 while no agent of the service takes starts
+    std::map<std::string, double> rates; // while nothing is measured; 0 while none is known, and no wait is forecast then
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
         }
-        if (std::exchange(job->isFitUnknown, false) && !job->hasStarted && !couldEverRun(job->route, job->job)) {
+        if (hasTurnedOutUnfit(*job, now)) {
             const DirectAnswer refusal = neverRunnable();
             note(actions, "refused", job->job.id, refusal.reason);
             answer(job, refusal, now, actions);
@@ -209,7 +216,7 @@
         }
         const auto [known, isNew] = rates.try_emplace(job->route.service);
         if (isNew) {
-            known->second = workRate(job->route.service, now);
+            known->second = isStarting(now) ? 0 : workRate(job->route.service, now);
         }
         double &ahead = aheadOf[job->route.priority];
         const double rate = known->second > 0 ? m_backlogs[job->route.priority].rate.rate(known->second) : 0;
