--- a/modules/direct/tests/overloadtest.cpp
+++ b/modules/direct/tests/overloadtest.cpp
@@ -3,23 +3,48 @@
 using namespace lagoonroute;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/** One entry and one upstream without room: its ten places are taken for the given time, of which 100 ms have passed. */
+struct FullUpstream : Deployment
+{
+    explicit FullUpstream(Duration taken)
+        : Deployment(options())
+    {
+        simulation.submit(0, "hold", job(10, taken), taken, 5s);
+        simulation.runFor(100ms);
+    }
+
+    /** Submits a lookup of 60 ms, with an objective of 156 ms, and returns what became of it. */
+    const DirectSimulation::Submission &lookUp()
+    {
+        const std::size_t position = simulation.submit(0, "lookup", job(1, 60ms), 60ms, 3s);
+        simulation.runFor(1s);
+        return submission(position);
+    }
+
+    static DirectSimulation::Options options()
+    {
+        DirectSimulation::Options single;
+        single.entries = 1;
+        single.agents = 1;
+        single.speeds = { 1.0 };
+        single.hasLargeUpstreams = false;
+        return single;
+    }
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(OverloadTest)
 
 // Pattern: a short job that comes while every upstream is taken for moments longer than its objective allows. Its client
 // account still waits, and nothing else wants the room that is free soon.
 BOOST_AUTO_TEST_CASE(AJobThatEndsWithinTwoObjectivesIsServedLate)
 {
-    DirectSimulation::Options options;
-    options.entries = 1;
-    options.agents = 1;
-    options.speeds = { 1.0 };
-    options.hasLargeUpstreams = false;
-    Deployment deployment(options);
-    deployment.simulation.submit(0, "hold", deployment.job(10, 300ms), 300ms, 3s);
-    deployment.simulation.runFor(120ms);
-    const std::size_t position = deployment.simulation.submit(0, "lookup", deployment.job(1, 60ms), 60ms, 3s);
-    deployment.simulation.runFor(1s);
-    const DirectSimulation::Submission &submission = deployment.submission(position);
+    FullUpstream upstream(280ms);
+    const DirectSimulation::Submission &submission = upstream.lookUp();
     BOOST_REQUIRE(submission.answeredAt.has_value());
     BOOST_TEST((submission.answer.verdict == DirectVerdict::Completed), submission.answer.reason);
     BOOST_TEST((*submission.answeredAt - submission.at > submission.objective));
@@ -28,17 +53,8 @@
 
 BOOST_AUTO_TEST_CASE(AJobThatCannotEndWithinTwoObjectivesIsRefusedEarly)
 {
-    DirectSimulation::Options options;
-    options.entries = 1;
-    options.agents = 1;
-    options.speeds = { 1.0 };
-    options.hasLargeUpstreams = false;
-    Deployment deployment(options);
-    deployment.simulation.submit(0, "hold", deployment.job(10, 2000ms), 2000ms, 5s);
-    deployment.simulation.runFor(100ms);
-    const std::size_t position = deployment.simulation.submit(0, "lookup", deployment.job(1, 60ms), 60ms, 3s);
-    deployment.simulation.runFor(1s);
-    const DirectSimulation::Submission &submission = deployment.submission(position);
+    FullUpstream upstream(2000ms);
+    const DirectSimulation::Submission &submission = upstream.lookUp();
     BOOST_REQUIRE(submission.answeredAt.has_value());
     BOOST_TEST((submission.answer.verdict == DirectVerdict::NotRun));
     BOOST_TEST((*submission.answeredAt - submission.at <= 2 * submission.objective));
