A late job stays in the queue only while no less urgent one waits

Cause: with two objectives for all, late lookups took the room of repricings and holds that could be on time, since priority goes first. Test: OverloadTest/ALateJobHoldsUpNoLessUrgentOne, two checks failing before.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -65,7 +65,8 @@
         Duration settleTime = std::chrono::milliseconds(300); /**< Without a further agent that opens, after which the start is over sooner. */
         Duration routesTime = std::chrono::milliseconds(500); /**< After the start of the process, in which requests wait for the first routes; a narrow link
                                                                    and 2,000 routes take 350 ms. */
-        double usefulFactor = 2; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
+        double usefulFactor = 1.25; /**< Times the objective, by which a job must be expected to end to stay in the queue. */
+        double lateFactor = 2; /**< The same while no less urgent job waits, which a late one would hold up. */
 
         Options withNode(std::string name, std::string ownAddress) const;
         Options withZone(const std::string &zone) const;
@@ -196,6 +197,7 @@
     static void addWish(std::vector<RoomWish> &wishes, const Job &job);
     void flushStarts(EntryActions &actions);
     void measureBacklogs(const std::vector<JobPointer> &ordered, Instant now);
+    [[nodiscard]] Instant usefulUntil(const Job &job, std::uint32_t leastUrgent) const;
     [[nodiscard]] bool hasTurnedOutUnfit(Job &job, Instant now) const;
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
     void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -190,6 +190,13 @@
     }
 }
 
+/** By when a job must be expected to end to stay in the queue. */
+Instant DirectEntryCore::usefulUntil(const Job &job, std::uint32_t leastUrgent) const
+{
+    const double factor = job.route.priority < leastUrgent ? m_options.usefulFactor : m_options.lateFactor;
+    return std::min(job.deadline, job.arrived + scaled(job.objective - job.arrived, factor));
+}
+
 /** Whether a job that was taken while agents greeted is one that none of them could run. */
 bool DirectEntryCore::hasTurnedOutUnfit(Job &job, Instant now) const
 {
@@ -204,6 +211,12 @@
 {
     std::map<std::uint32_t, double> aheadOf; // work of the same priority, in its order
     std::map<std::string, double> rates; // while nothing is measured; 0 while none is known, and no wait is forecast then
+    std::uint32_t leastUrgent = 0; // priority of a job that waits
+    for (const JobPointer &job : ordered) {
+        if (job->waiting > 0 && !job->isClosed) {
+            leastUrgent = std::max(leastUrgent, job->route.priority);
+        }
+    }
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
@@ -225,8 +238,7 @@
         if (job->hasStarted) {
             continue;
         }
-        const Instant useful = std::min(job->deadline, job->arrived + scaled(job->objective - job->arrived, m_options.usefulFactor));
-        if (now + wait + job->chain <= useful) {
+        if (now + wait + job->chain <= usefulUntil(*job, leastUrgent)) {
             continue;
         }
         ahead -= job->work;
--- a/modules/direct/tests/overloadtest.cpp
+++ b/modules/direct/tests/overloadtest.cpp
@@ -60,4 +60,16 @@
     BOOST_TEST((*submission.answeredAt - submission.at <= 2 * submission.objective));
 }
 
+// Pattern: an overload in which urgent jobs are late already. Kept, they would take the room of less urgent ones that can be on time.
+BOOST_AUTO_TEST_CASE(ALateJobHoldsUpNoLessUrgentOne)
+{
+    FullUpstream upstream(280ms);
+    const std::size_t late = upstream.simulation.submit(0, "lookup", upstream.job(10, 60ms), 60ms, 3s);
+    const std::size_t waiting = upstream.simulation.submit(0, "hold", upstream.job(10, 200ms), 200ms, 3s);
+    upstream.simulation.runFor(1s);
+    BOOST_TEST((upstream.submission(late).answer.verdict == DirectVerdict::NotRun));
+    BOOST_TEST((upstream.submission(waiting).answer.verdict == DirectVerdict::Completed));
+    BOOST_TEST((*upstream.submission(waiting).answeredAt - upstream.submission(waiting).at <= 400ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
