The least urgent job that waits is the last one of the ordered queue

The queue is sorted by priority, so looking at every job on each review was not needed. Behaviour stays as it is; the module's tests pass unchanged, format and lint of the file are clean.

--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -211,12 +211,8 @@
 {
     std::map<std::uint32_t, double> aheadOf; // work of the same priority, in its order
     std::map<std::string, double> rates; // while nothing is measured; 0 while none is known, and no wait is forecast then
-    std::uint32_t leastUrgent = 0; // priority of a job that waits
-    for (const JobPointer &job : ordered) {
-        if (job->waiting > 0 && !job->isClosed) {
-            leastUrgent = std::max(leastUrgent, job->route.priority);
-        }
-    }
+    const auto last = std::find_if(ordered.rbegin(), ordered.rend(), [](const JobPointer &job) { return job->waiting > 0 && !job->isClosed; });
+    const std::uint32_t leastUrgent = last == ordered.rend() ? 0 : (*last)->route.priority;
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
