An entry drops the submission of a caller whose connection is already broken

The request stays readable after the reset, so an entry that is late in reading starts the job as well: two runs with number 1 until it reads the reset.

Change: HttpExchange::isClientConnected() looks at the socket after the request was read; the entry drops a submission without a caller. One system call a submission.

--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -335,6 +335,12 @@
 
     void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request, const RouteRule &route, Instant now)
     {
+        if (!exchange->isClientConnected()) {
+            m_metrics.counter("lagoonroute_disconnected_total").add();
+            logLine(LogLevel::Info, "caller-disconnected", { { "job", request.id }, { "route", route.name } });
+            exchange->respond(Protocol::response(DirectAnswer{ DirectVerdict::NotRun, "disconnected", std::chrono::seconds(1) }));
+            return;
+        }
         std::optional<DirectJob> job;
         if (exchange->request().body.size() <= m_core.routes().limits().maxBodyBytes) {
             job = Protocol::job(exchange->request().body, request.id);
--- a/include/lagoonroute/http/httpserver.h
+++ b/include/lagoonroute/http/httpserver.h
@@ -28,6 +28,12 @@
     /** Sends the response. Later calls have no effect, nor does a call after the connection was closed. */
     virtual void respond(HttpResponse response) = 0;
 
+    /**
+     * Returns whether the client's end of the connection is open. A request stays readable after its client has reset the
+     * connection, so a handler that acts on a request checks this first: the client may already have sent it elsewhere.
+     */
+    [[nodiscard]] virtual bool isClientConnected() = 0;
+
     /** Arranges that `onClosed` is called, once, if the client closes the connection before the response. */
     virtual void watchForClose(std::function<void()> onClosed) = 0;
 };
--- a/modules/http/httpclient.cpp
+++ b/modules/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include <lagoonroute/http/httpclient.h>
 
+#include "socketpeek.h"
+
 #include <lagoonroute/network/eventloop.h>
 
 #include <boost/asio/post.hpp>
@@ -28,16 +30,6 @@
 constexpr std::size_t maxIdlePerServer = 64;
 constexpr std::size_t maxResponseBytes = 16U << 20U;
 
-/** Returns whether an idle connection is still open and has no unread data. */
-bool isUsable(beast::tcp_stream &stream)
-{
-    beast::error_code error;
-    stream.socket().non_blocking(true, error);
-    char byte = 0;
-    stream.socket().receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, error);
-    return error == boost::asio::error::would_block;
-}
-
 /** Idle connections, by server address. */
 class ConnectionPool
 {
@@ -48,7 +40,7 @@
         while (!idle.empty()) {
             StreamPointer stream = std::move(idle.back());
             idle.pop_back();
-            if (isUsable(*stream)) {
+            if (peekAtSocket(stream->socket()) == PeekResult::Idle) {
                 return stream;
             }
         }
--- a/modules/http/httpsession.cpp
+++ b/modules/http/httpsession.cpp
@@ -1,5 +1,7 @@
 #include "httpsession.h"
 
+#include "socketpeek.h"
+
 #include <lagoonroute/observation/log.h>
 
 #include <boost/beast/http/read.hpp>
@@ -36,6 +38,11 @@
         }
     }
 
+    [[nodiscard]] bool isClientConnected() override
+    {
+        return m_session && m_session->isClientConnected();
+    }
+
     void watchForClose(std::function<void()> onClosed) override
     {
         m_onClosed = std::move(onClosed);
@@ -179,6 +186,11 @@
     });
 }
 
+bool HttpSession::isClientConnected()
+{
+    return m_buffer.size() > 0 || peekAtSocket(m_stream.socket()) != PeekResult::Closed;
+}
+
 void HttpSession::watchForClose()
 {
     m_stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this(), watched = m_exchange](beast::error_code error) {
--- a/modules/http/httpsession.h
+++ b/modules/http/httpsession.h
@@ -51,6 +51,7 @@
     void handleRequest();
     void refuse(boost::beast::error_code error);
     void write(HttpResponse response);
+    [[nodiscard]] bool isClientConnected();
     void watchForClose();
     void endRequest();
     void close();
--- a/modules/http/tests/sharedlooptest.cpp
+++ b/modules/http/tests/sharedlooptest.cpp
@@ -3,6 +3,8 @@
 #include <lagoonroute/base/errors.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -24,6 +26,7 @@
                      if (exchange->request().target == "/fault") {
                          throw std::runtime_error("unexpected");
                      }
+                     wasConnected = exchange->isClientConnected();
                      if (exchange->request().target == "/later") {
                          openExchange = exchange;
                      } else {
@@ -45,6 +48,7 @@
     }
 
     boost::asio::io_context loop{ 1 };
+    std::optional<bool> wasConnected; // as the handler of the last request saw it
     std::shared_ptr<HttpExchange> openExchange;
     HttpServer server;
     HttpClient client;
@@ -103,6 +107,40 @@
     BOOST_TEST(!unresponsive->isRefused);
 }
 
+BOOST_AUTO_TEST_CASE(RequestOfDisconnectedClientIsRecognized)
+{
+    using boost::asio::ip::tcp;
+    for (const bool isReset : { true, false }) {
+        SharedLoop shared;
+        boost::asio::io_context clientLoop;
+        tcp::socket caller(clientLoop);
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), shared.server.address().port });
+        boost::asio::write(caller, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")));
+        caller.set_option(tcp::socket::linger(isReset, 0));
+        caller.close();
+        while (!shared.wasConnected) {
+            BOOST_REQUIRE(shared.loop.run_one_for(5s) == 1U);
+        }
+        BOOST_TEST(!*shared.wasConnected);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ClientThatWaitsOrSendsItsNextRequestIsConnected)
+{
+    SharedLoop shared;
+    BOOST_TEST(shared.call("/")->response.has_value());
+    BOOST_TEST(*shared.wasConnected);
+    boost::asio::io_context clientLoop;
+    boost::asio::ip::tcp::socket caller(clientLoop);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), shared.server.address().port });
+    const std::string request = "POST /later HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request + request));
+    while (!shared.openExchange) {
+        BOOST_REQUIRE(shared.loop.run_one_for(5s) == 1U);
+    }
+    BOOST_TEST(*shared.wasConnected);
+}
+
 BOOST_AUTO_TEST_CASE(UnexpectedErrorFailsOnlyItsOwnRequest)
 {
     SharedLoop shared;
