Requests wait for the first routes as long as their callers can

A caller takes 503 as final.

Change: a request without routes waits for three quarters of its caller's time (500 ms if the caller names none), counted from its arrival; deadline, objective and order of the job count from the arrival too, which the 500 ms were added to before.

RequestsWaitForFirstRoutesUntilTimeout is replaced by RequestsWaitForFirstRoutesAsLongAsTheirCallersCan, which checks the same and both ends of the wait."

--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -99,6 +99,14 @@
         Instant arrived;
     };
 
+    /** Request that waits for the first routes. */
+    struct DeferredRequest
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        Duration callerTimeout;
+        Instant arrived;
+    };
+
     [[nodiscard]] std::uint64_t seed() const
     {
         return NodeId::fromName(m_settings.node).value;
@@ -136,11 +144,12 @@
             }
         }
         std::optional<Instant> wake = m_core.nextWake();
-        if (const auto awaited = m_core.routesAwaitedUntil(now); awaited && !m_deferredRequests.empty()) {
-            wake = wake ? std::min(*wake, *awaited) : awaited;
-        }
-        for (const auto &other :
-             { m_routesFollower.nextWake(), m_contactsFollower.nextWake(), m_store.nextWake(), m_schedule.nextWake(), m_documents.nextWake() }) {
+        for (const auto &other : { nextDeferredEnd(),
+                                   m_routesFollower.nextWake(),
+                                   m_contactsFollower.nextWake(),
+                                   m_store.nextWake(),
+                                   m_schedule.nextWake(),
+                                   m_documents.nextWake() }) {
             wake = !other ? wake : (!wake ? other : std::min(*wake, *other));
         }
         return wake;
@@ -283,14 +292,20 @@
     void serve(const std::shared_ptr<HttpExchange> &exchange)
     {
         const Instant now = m_loop.beginEvent();
-        if (m_core.routesAwaitedUntil(now)) {
-            m_deferredRequests.push_back(exchange);
-            exchange->watchForClose(
-                [this, deferred = exchange.get()] { std::erase_if(m_deferredRequests, [deferred](const auto &other) { return other.get() == deferred; }); });
+        const CallerRequest request = Protocol::callerRequest(exchange->request());
+        if (m_core.routesAwaitedUntil(now, request.callerTimeout)) {
+            m_deferredRequests.push_back({ exchange, request.callerTimeout, now });
+            exchange->watchForClose([this, deferred = exchange.get()] {
+                std::erase_if(m_deferredRequests, [deferred](const DeferredRequest &other) { return other.exchange.get() == deferred; });
+            });
             m_loop.requestIteration();
             return;
         }
-        CallerRequest request = Protocol::callerRequest(exchange->request());
+        serve(exchange, request, now, now);
+    }
+
+    void serve(const std::shared_ptr<HttpExchange> &exchange, CallerRequest request, Instant arrived, Instant now)
+    {
         if (m_core.routes().version() == 0) {
             logLine(LogLevel::Info, "no-configuration", { { "host", request.host }, { "path", request.path } });
             exchange->respond(Protocol::response(DirectAnswer{ DirectVerdict::NotRun, "no-configuration", std::chrono::seconds(1) }));
@@ -305,7 +320,7 @@
         request.id = request.path.substr(route->prefix.size());
         switch (request.kind) {
         case CallerRequestKind::Submit:
-            submit(exchange, request, *route, now);
+            submit(exchange, request, *route, arrived, now);
             break;
         case CallerRequestKind::State:
             exchange->respond(request.id.empty() ? Protocol::waitingResponse(m_core.waiting(route->name)) : Protocol::unknownJob());
@@ -319,21 +334,42 @@
         }
     }
 
-    /** Serves the requests that arrived before the first routes, once routes are known or the wait for them has timed out. */
+    /** Serves the requests that arrived before the first routes, once routes are known or the wait for them is over. */
     void serveDeferred(Instant now)
     {
-        if (m_deferredRequests.empty() || m_core.routesAwaitedUntil(now)) {
+        std::vector<DeferredRequest> due;
+        for (auto request = m_deferredRequests.begin(); request != m_deferredRequests.end();) {
+            const auto until = m_core.routesAwaitedUntil(request->arrived, request->callerTimeout);
+            if (until && now < *until) {
+                ++request;
+                continue;
+            }
+            due.push_back(std::move(*request));
+            request = m_deferredRequests.erase(request);
+        }
+        if (due.empty()) {
             return;
         }
         logLine(LogLevel::Info,
                 "early-requests",
-                { { "requests", static_cast<std::int64_t>(m_deferredRequests.size()) }, { "routes", static_cast<std::int64_t>(m_core.routes().version()) } });
-        for (const std::shared_ptr<HttpExchange> &exchange : std::exchange(m_deferredRequests, {})) {
-            serve(exchange);
+                { { "requests", static_cast<std::int64_t>(due.size()) }, { "routes", static_cast<std::int64_t>(m_core.routes().version()) } });
+        for (const DeferredRequest &request : due) {
+            serve(request.exchange, Protocol::callerRequest(request.exchange->request()), request.arrived, now);
+        }
+    }
+
+    /** Returns when the next request gives up its wait for the first routes. */
+    [[nodiscard]] std::optional<Instant> nextDeferredEnd() const
+    {
+        std::optional<Instant> earliest;
+        for (const DeferredRequest &request : m_deferredRequests) {
+            const auto until = m_core.routesAwaitedUntil(request.arrived, request.callerTimeout);
+            earliest = !earliest || (until && *until < *earliest) ? until : earliest;
         }
+        return earliest;
     }
 
-    void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request, const RouteRule &route, Instant now)
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request, const RouteRule &route, Instant arrived, Instant now)
     {
         if (!exchange->isClientConnected()) {
             m_metrics.counter("lagoonroute_disconnected_total").add();
@@ -351,9 +387,9 @@
             return;
         }
         const RequestId id = ++m_lastRequestId;
-        m_requests[id] = OpenRequest{ exchange, now };
+        m_requests[id] = OpenRequest{ exchange, arrived };
         m_metrics.counter("lagoonroute_submissions_total").add();
-        m_core.submit(id, route, *job, request.callerTimeout, now, m_actions);
+        m_core.submit(ReceivedSubmission{ id, arrived, request.callerTimeout }, route, *job, now, m_actions);
         performActions(now);
         if (m_requests.count(id) != 0) {
             exchange->watchForClose([this, id] {
@@ -452,7 +488,7 @@
     StoreClient<ExternalStore<Protocol>> m_store;
     std::map<RequestId, OpenRequest> m_requests;
     RequestId m_lastRequestId = 0;
-    std::vector<std::shared_ptr<HttpExchange>> m_deferredRequests; // requests that arrived before the first routes, in order of arrival
+    std::vector<DeferredRequest> m_deferredRequests; // requests that arrived before the first routes, in order of arrival
     std::map<LinkId, std::string> m_entryLinks; // names of other entries, by link
     DocumentExchange m_documents{ DocumentExchange::Options() };
     std::optional<Instant> m_stopStart;
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -21,6 +21,14 @@
 /** Number of a client account's request, unique within one process. */
 using RequestId = std::uint64_t;
 
+/** Submission of a job by a client account. */
+struct ReceivedSubmission
+{
+    RequestId request = 0;
+    Instant arrived; /**< When the entry received the request, which it may have deferred since. */
+    Duration callerTimeout{ 0 }; /**< Time from the arrival for which the client account waits; zero selects the route's timeout. */
+};
+
 /** Action that answers a request. */
 struct AnswerRequest
 {
@@ -67,8 +75,9 @@
         std::uint32_t maxMoves = 2; /**< Most moves of one task; more would discard more work than they save. */
         Duration startTime = std::chrono::milliseconds(1500); /**< Time after the start of the process during which it waits for the handshakes of agents. */
         Duration settleTime = std::chrono::milliseconds(300); /**< Time without another agent beginning to accept starts, after which the startup ends early. */
-        /** Time after the start of the process during which requests wait for the first routes; 2,000 routes take 350 ms over a narrow link. */
+        /** Time for which a request waits for the first routes if its caller names no time; 2,000 routes take 350 ms over a narrow link. */
         Duration routesTimeout = std::chrono::milliseconds(500);
+        double routesWaitShare = 0.75; /**< Share of its caller's time for which a request waits for the first routes; the rest is left to run the job. */
         double usefulFactor = 1.25; /**< A job stays in the queue if it is expected to end within this many times its objective. */
         double lateFactor = 2; /**< The same while no less urgent job is waiting that a late job would delay. */
 
@@ -87,11 +96,11 @@
         return m_routes;
     }
 
-    /** Returns until when requests wait for the first routes; no value once there are routes or the wait has timed out. */
-    [[nodiscard]] std::optional<Instant> routesAwaitedUntil(Instant now) const;
+    /** Returns until when a request waits for the first routes; no value once there are routes. A caller's timeout of zero means unknown. */
+    [[nodiscard]] std::optional<Instant> routesAwaitedUntil(Instant arrived, Duration callerTimeout) const;
 
-    /** Submits a job of a client account, which waits for the answer for the given time; zero selects the route's timeout. */
-    void submit(RequestId request, const RouteRule &route, const DirectJob &job, Duration callerTimeout, Instant now, EntryActions &actions);
+    /** Submits a job of a client account. */
+    void submit(const ReceivedSubmission &submission, const RouteRule &route, const DirectJob &job, Instant now, EntryActions &actions);
 
     /** Handles a request whose client account has closed its connection. */
     void requestClosed(RequestId request, Instant now, EntryActions &actions);
@@ -176,7 +185,7 @@
 
     using JobPointer = std::shared_ptr<Job>;
 
-    JobPointer admit(const RouteRule &route, const DirectJob &job, Duration callerTimeout, Instant now);
+    JobPointer admit(const ReceivedSubmission &submission, const RouteRule &route, const DirectJob &job);
     [[nodiscard]] bool couldEverRun(const RouteRule &route, const DirectJob &job) const;
     [[nodiscard]] std::optional<DirectAnswer> refusalOf(const RouteRule &route, const DirectJob &job, Instant now) const;
     Task *findTask(const DirectTaskId &id, JobPointer &job);
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -52,10 +52,12 @@
     return true;
 }
 
-std::optional<Instant> DirectEntryCore::routesAwaitedUntil(Instant now) const
+std::optional<Instant> DirectEntryCore::routesAwaitedUntil(Instant arrived, Duration callerTimeout) const
 {
-    const Instant until = m_startedAt.value_or(now) + m_options.routesTimeout;
-    return m_routes.version() == 0 && now < until ? std::optional(until) : std::nullopt;
+    if (m_routes.version() != 0) {
+        return std::nullopt;
+    }
+    return arrived + (callerTimeout > 0ms ? scaled(callerTimeout, m_options.routesWaitShare) : m_options.routesTimeout);
 }
 
 /** Returns whether handshakes of agents are still expected after the startup, so that neither capacity nor rate is known. */
@@ -100,8 +102,9 @@
     });
 }
 
-void DirectEntryCore::submit(RequestId request, const RouteRule &route, const DirectJob &job, Duration callerTimeout, Instant now, EntryActions &actions)
+void DirectEntryCore::submit(const ReceivedSubmission &submission, const RouteRule &route, const DirectJob &job, Instant now, EntryActions &actions)
 {
+    const RequestId request = submission.request;
     const RetainedAnswer *kept = retainedAnswer(job.id, now);
     if (kept != nullptr && kept->answer) {
         actions.emplace_back(AnswerRequest{ request, job.id, *kept->answer });
@@ -114,7 +117,7 @@
         open->requests.push_back(request);
         m_byRequest[request] = open;
         if (std::exchange(open->isClosed, false)) {
-            open->deadline = now + (callerTimeout > 0ms ? callerTimeout : route.timeout);
+            open->deadline = submission.arrived + (submission.callerTimeout > 0ms ? submission.callerTimeout : route.timeout);
             for (Task &task : open->tasks) {
                 if (task.phase == TaskPhase::Dropped) {
                     task.phase = TaskPhase::Blocked;
@@ -135,7 +138,7 @@
         actions.emplace_back(AnswerRequest{ request, job.id, *refusal });
         return;
     }
-    const JobPointer admitted = admit(route, job, callerTimeout, now);
+    const JobPointer admitted = admit(submission, route, job);
     admitted->hasStarted = hasStarted;
     admitted->isFitUnknown = isStarting(now);
     admitted->requests.push_back(request);
@@ -145,12 +148,14 @@
     handleTimers(now, actions);
 }
 
-DirectEntryCore::JobPointer DirectEntryCore::admit(const RouteRule &route, const DirectJob &job, Duration callerTimeout, Instant now)
+DirectEntryCore::JobPointer DirectEntryCore::admit(const ReceivedSubmission &submission, const RouteRule &route, const DirectJob &job)
 {
+    const Instant arrived = submission.arrived;
+    const Duration routeTimeout = route.timeout > 0ms ? route.timeout : 60s;
     auto admitted = std::make_shared<Job>();
     admitted->job = job;
     admitted->route = route;
-    admitted->arrived = now;
+    admitted->arrived = arrived;
     std::vector<Duration> chains;
     Duration declared{ 0 };
     for (std::uint32_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
@@ -171,11 +176,11 @@
         }
     }
     admitted->chain = declared;
-    admitted->objective = now + scaled(declared, route.stretch) + route.targetLatency;
-    admitted->deadline = now + (callerTimeout > 0ms ? callerTimeout : (route.timeout > 0ms ? route.timeout : 60s));
+    admitted->objective = arrived + scaled(declared, route.stretch) + route.targetLatency;
+    admitted->deadline = arrived + (submission.callerTimeout > 0ms ? submission.callerTimeout : routeTimeout);
     unblock(*admitted);
     const double meanWork = std::max(1.0, static_cast<double>(m_estimator.mean().count()) * 20'000);
-    admitted->sortKey = now + std::min(largestHeadStart, scaled(largestHeadStart / 4, admitted->work / meanWork));
+    admitted->sortKey = arrived + std::min(largestHeadStart, scaled(largestHeadStart / 4, admitted->work / meanWork));
     return admitted;
 }
 
--- a/modules/direct/tests/directsimulation.cpp
+++ b/modules/direct/tests/directsimulation.cpp
@@ -322,7 +322,7 @@
     const RequestId request = position + 1;
     m_requests[request] = position;
     runOnNode(m_entries[entry], m_entries[entry].incarnation, [this, entry, request, rule = *rule, job, callerTimeout] {
-        m_entries[entry].core->submit(request, rule, job, callerTimeout, m_now, m_entries[entry].actions);
+        m_entries[entry].core->submit(ReceivedSubmission{ request, m_now, callerTimeout }, rule, job, m_now, m_entries[entry].actions);
         executeEntryActions(entry);
     });
     return position;
--- a/modules/direct/tests/partstest.cpp
+++ b/modules/direct/tests/partstest.cpp
@@ -48,16 +48,44 @@
 }
 
 // Guards against refusals when all hosts restart under load: requests arrived milliseconds before the configuration.
-BOOST_AUTO_TEST_CASE(RequestsWaitForFirstRoutesUntilTimeout)
+BOOST_AUTO_TEST_CASE(RequestsWaitForFirstRoutesAsLongAsTheirCallersCan)
 {
-    DirectEntryCore core{ DirectEntryCore::Options() };
+    const auto options = DirectEntryCore::Options();
+    DirectEntryCore core{ options };
     EntryActions actions;
     core.handleTimers(start, actions);
-    const Duration longest = DirectEntryCore::Options().routesTimeout;
-    BOOST_TEST((core.routesAwaitedUntil(start + 10ms) == start + longest));
-    BOOST_TEST(!core.routesAwaitedUntil(start + longest).has_value());
+    const Instant arrived = start + 3s;
+    BOOST_TEST((core.routesAwaitedUntil(arrived, 0ms) == arrived + options.routesTimeout));
+    for (const Duration callerTimeout : { Duration(100ms), Duration(2s) }) {
+        const auto until = core.routesAwaitedUntil(arrived, callerTimeout);
+        BOOST_REQUIRE(until.has_value());
+        BOOST_TEST((*until > arrived + callerTimeout / 2));
+        BOOST_TEST((*until < arrived + callerTimeout));
+    }
     core.setRoutes(RouteTable(7, {}, {}), actions);
-    BOOST_TEST(!core.routesAwaitedUntil(start + 10ms).has_value());
+    BOOST_TEST(!core.routesAwaitedUntil(arrived, 2s).has_value());
+}
+
+// The time that a request has waited for the first routes is part of its caller's time.
+BOOST_AUTO_TEST_CASE(DeferredRequestIsAnsweredWithinItsCallersTime)
+{
+    DirectEntryCore core{ DirectEntryCore::Options() };
+    EntryActions actions;
+    RouteRule rule;
+    rule.name = "reprice";
+    rule.service = "api";
+    rule.targetLatency = 1s;
+    DirectJob job;
+    job.id = "job";
+    job.steps.push_back(DirectStep{ .count = 1, .need = { 1000, 64, 0 }, .estimate = 200ms });
+    core.handleTimers(start, actions);
+    core.submit(ReceivedSubmission{ 1, start, 1s }, rule, job, start + 700ms, actions);
+    const auto answered
+        = [&] { return std::any_of(actions.begin(), actions.end(), [](const EntryAction &action) { return std::holds_alternative<AnswerRequest>(action); }); };
+    core.handleTimers(start + 780ms, actions);
+    BOOST_TEST(!answered());
+    core.handleTimers(start + 1s + 50ms, actions);
+    BOOST_TEST(answered());
 }
 
 BOOST_AUTO_TEST_CASE(RunProgressForecastsEndFromRecentRate)
--- a/modules/direct/tests/recoverytest.cpp
+++ b/modules/direct/tests/recoverytest.cpp
@@ -65,8 +65,8 @@
     };
     core.handleTimers(now, actions);
     identify(1, "agent-1", "a");
-    core.submit(1, rule, jobFor("job-1", "b"), 3s, now, actions);
-    core.submit(2, rule, jobFor("job-2", "c"), 3s, now, actions);
+    core.submit(ReceivedSubmission{ 1, now, 3s }, rule, jobFor("job-1", "b"), now, actions);
+    core.submit(ReceivedSubmission{ 2, now, 3s }, rule, jobFor("job-2", "c"), now, actions);
     BOOST_TEST(answers() == 0);
     now += 100ms;
     identify(2, "agent-2", "b");
