The first observation of a backlog measures no time

Cause: BacklogRate took the time since the clock's zero for time in which nothing was started, if work waited at its first call. The rate of that priority was near zero then until the error had decayed (500 ms smoothing), so every job behind another was refused with capacity free. It happens when the first job of a priority at an entry has to wait.

Change: the first call begins the measurement. FirstObservationMeasuresNoTime fails on the code before.

--- a/include/lagoonroute/direct/backlograte.h
+++ b/include/lagoonroute/direct/backlograte.h
@@ -2,6 +2,8 @@
 
 #include <lagoonroute/base/time.h>
 
+#include <optional>
+
 namespace lagoonroute
 {
 
@@ -14,7 +16,7 @@
 class BacklogRate
 {
 public:
-    /** Records the work that was started since the last call, and whether work was waiting during that time. */
+    /** Records the work that was started since the last call, and whether work was waiting during that time. The first call begins the measurement. */
     void observe(double startedWork, bool hadBacklog, Instant now);
 
     /** Returns the work started per microsecond; the expected rate dominates as long as little has been measured. */
@@ -23,7 +25,7 @@
 private:
     double m_work = 0;
     double m_time = 0; // microseconds during which m_work was started
-    Instant m_observedAt;
+    std::optional<Instant> m_observedAt; // no value before the first call
 };
 
 } // namespace lagoonroute
--- a/modules/direct/backlograte.cpp
+++ b/modules/direct/backlograte.cpp
@@ -19,7 +19,7 @@
 
 void BacklogRate::observe(double startedWork, bool hadBacklog, Instant now)
 {
-    const auto passed = static_cast<double>((now - m_observedAt).count());
+    const auto passed = static_cast<double>((now - m_observedAt.value_or(now)).count());
     const double retained = std::exp(-passed / static_cast<double>(smoothingTime.count()));
     m_observedAt = now;
     m_work *= retained;
--- a/modules/direct/tests/backlogratetest.cpp
+++ b/modules/direct/tests/backlogratetest.cpp
@@ -42,6 +42,14 @@
     BOOST_TEST(rate.rate(10) > 2);
 }
 
+// Guards against refusals of the first jobs that ever wait: the time before the first call is not time without starts.
+BOOST_AUTO_TEST_CASE(FirstObservationMeasuresNoTime)
+{
+    BacklogRate rate;
+    rate.observe(0, true, start + 1h);
+    BOOST_TEST(rate.rate(7) == 7);
+}
+
 BOOST_AUTO_TEST_CASE(OldMeasurementsExpire)
 {
     BacklogRate rate;
