A late job is served from the time that less urgent jobs can spare

Change: a job that would be late stays while its caller waits, if each less urgent job that can be on time stays on time (LatenessBudget, from forecasts of wait and objective); else it is refused at once as before. The setting lateFactor is gone.

--- a/include/lagoonroute/direct/direct.h
+++ b/include/lagoonroute/direct/direct.h
@@ -14,6 +14,7 @@
 #include <lagoonroute/direct/directjob.h>
 #include <lagoonroute/direct/documentexchange.h>
 #include <lagoonroute/direct/entrycontacts.h>
+#include <lagoonroute/direct/latenessbudget.h>
 #include <lagoonroute/direct/linkmessages.h>
 #include <lagoonroute/direct/reconnectschedule.h>
 #include <lagoonroute/direct/routetable.h>
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -2,6 +2,7 @@
 
 #include <lagoonroute/direct/agentregistry.h>
 #include <lagoonroute/direct/backlograte.h>
+#include <lagoonroute/direct/latenessbudget.h>
 #include <lagoonroute/direct/routetable.h>
 #include <lagoonroute/direct/upstreamevents.h>
 #include <lagoonroute/placement/runtimeestimator.h>
@@ -78,8 +79,7 @@
         /** Time for which a request waits for the first routes if its caller names no time; 2,000 routes take 350 ms over a narrow link. */
         Duration routesTimeout = std::chrono::milliseconds(500);
         double routesWaitShare = 0.75; /**< Share of its caller's time for which a request waits for the first routes; the rest is left to run the job. */
-        double usefulFactor = 1.25; /**< A job stays in the queue if it is expected to end within this many times its objective. */
-        double lateFactor = 2; /**< The same while no less urgent job is waiting that a late job would delay. */
+        double usefulFactor = 1.25; /**< A job that is expected to end within this many times its objective stays in the queue even if it delays others. */
 
         Options withNode(std::string name, std::string ownAddress) const;
         Options withZone(const std::string &zone) const;
@@ -184,6 +184,7 @@
     };
 
     using JobPointer = std::shared_ptr<Job>;
+    using ServiceRates = std::map<std::string, double>; // work per microsecond; none during the startup, when no rate is known
 
     JobPointer admit(const ReceivedSubmission &submission, const RouteRule &route, const DirectJob &job);
     [[nodiscard]] bool couldEverRun(const RouteRule &route, const DirectJob &job) const;
@@ -210,7 +211,11 @@
     static void addDemand(std::vector<CapacityDemand> &demands, const Job &job);
     void flushStarts(EntryActions &actions);
     void measureBacklogs(const std::vector<JobPointer> &ordered, Instant now);
-    [[nodiscard]] Instant usefulUntil(const Job &job, std::uint32_t leastUrgent) const;
+    [[nodiscard]] Instant usefulUntil(const Job &job) const;
+    [[nodiscard]] ServiceRates serviceRates(const std::vector<JobPointer> &ordered, Instant now) const;
+    [[nodiscard]] Duration expectedWait(const Job &job, double ahead, const ServiceRates &rates) const;
+    [[nodiscard]] LatenessBudget latenessBudget(const std::vector<JobPointer> &ordered, const ServiceRates &rates, Instant now) const;
+    bool staysInQueue(const Job &job, Instant expectedEnd, LatenessBudget &budget) const;
     [[nodiscard]] bool isKnownUnfit(Job &job, Instant now) const;
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
     void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -191,11 +191,65 @@
     }
 }
 
-/** Returns the time by which a job must be expected to end in order to stay in the queue. */
-Instant DirectEntryCore::usefulUntil(const Job &job, std::uint32_t leastUrgent) const
+/** Returns the time by which a job must be expected to end in order to stay in the queue even if it delays others. */
+Instant DirectEntryCore::usefulUntil(const Job &job) const
 {
-    const double factor = job.route.priority < leastUrgent ? m_options.usefulFactor : m_options.lateFactor;
-    return std::min(job.deadline, job.arrived + scaled(job.objective - job.arrived, factor));
+    return std::min(job.deadline, job.arrived + scaled(job.objective - job.arrived, m_options.usefulFactor));
+}
+
+DirectEntryCore::ServiceRates DirectEntryCore::serviceRates(const std::vector<JobPointer> &ordered, Instant now) const
+{
+    ServiceRates rates;
+    if (isStarting(now)) {
+        return rates;
+    }
+    for (const JobPointer &job : ordered) {
+        const auto [known, isNew] = rates.try_emplace(job->route.service);
+        if (isNew) {
+            known->second = workRate(job->route.service, now);
+        }
+    }
+    return rates;
+}
+
+/** Returns the expected wait of a job behind waiting work of its priority; none while no rate is known. */
+Duration DirectEntryCore::expectedWait(const Job &job, double ahead, const ServiceRates &rates) const
+{
+    const auto known = rates.find(job.route.service);
+    const auto backlog = m_backlogs.find(job.route.priority);
+    if (known == rates.end() || known->second <= 0 || backlog == m_backlogs.end()) {
+        return Duration(0);
+    }
+    return Duration(static_cast<Duration::rep>(ahead / backlog->second.rate.rate(known->second)));
+}
+
+/** Returns how much late work the jobs that can be on time bear ahead of them. */
+LatenessBudget DirectEntryCore::latenessBudget(const std::vector<JobPointer> &ordered, const ServiceRates &rates, Instant now) const
+{
+    LatenessBudget budget;
+    std::map<std::uint32_t, double> aheadOf; // waiting work of the same priority that is ahead in the queue
+    for (const JobPointer &job : ordered) {
+        const auto rate = rates.find(job->route.service);
+        if (job->waiting == 0 || job->isClosed || rate == rates.end()) {
+            continue;
+        }
+        double &ahead = aheadOf[job->route.priority];
+        const Duration spare = job->objective - (now + expectedWait(*job, ahead, rates) + job->chain);
+        if (spare >= 0ms) {
+            budget.addPunctualJob(job->route.service, job->route.priority, static_cast<double>(spare.count()) * rate->second);
+            ahead += job->work;
+        }
+    }
+    return budget;
+}
+
+/** Returns whether a job is worth its capacity: it is nearly on time, or its client account still waits and no other job becomes late for it. */
+bool DirectEntryCore::staysInQueue(const Job &job, Instant expectedEnd, LatenessBudget &budget) const
+{
+    if (expectedEnd <= usefulUntil(job)) {
+        return true;
+    }
+    return expectedEnd <= job.deadline && budget.take(job.route.service, job.route.priority, job.work);
 }
 
 /** Returns whether a job that was admitted during the startup has proved to be one that no agent could run. */
@@ -211,9 +265,8 @@
 void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
 {
     std::map<std::uint32_t, double> aheadOf; // waiting work of the same priority that is ahead in the queue
-    std::map<std::string, double> rates; // expected rate of each service; 0 while unknown, and then no wait is forecast
-    const auto last = std::find_if(ordered.rbegin(), ordered.rend(), [](const JobPointer &job) { return job->waiting > 0 && !job->isClosed; });
-    const std::uint32_t leastUrgent = last == ordered.rend() ? 0 : (*last)->route.priority;
+    const ServiceRates rates = serviceRates(ordered, now);
+    LatenessBudget budget = latenessBudget(ordered, rates, now);
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
@@ -224,21 +277,12 @@
             answer(job, refusal, now, actions);
             continue;
         }
-        const auto [known, isNew] = rates.try_emplace(job->route.service);
-        if (isNew) {
-            known->second = isStarting(now) ? 0 : workRate(job->route.service, now);
-        }
         double &ahead = aheadOf[job->route.priority];
-        const double rate = known->second > 0 ? m_backlogs[job->route.priority].rate.rate(known->second) : 0;
-        const auto wait = rate > 0 ? Duration(static_cast<Duration::rep>(ahead / rate)) : Duration(0);
-        ahead += job->work;
-        if (job->hasStarted) {
-            continue;
-        }
-        if (now + wait + job->chain <= usefulUntil(*job, leastUrgent)) {
+        const Duration wait = expectedWait(*job, ahead, rates);
+        if (job->hasStarted || staysInQueue(*job, now + wait + job->chain, budget)) {
+            ahead += job->work;
             continue;
         }
-        ahead -= job->work;
         const Duration backlog = std::clamp(wait, shortestRetryAfter, longestRetryAfter);
         note(actions,
              "refused",
