Jobs wait for agents whose links were reset

And since a late job may stay until its deadline, an entry that has lost every agent must not hold its jobs that long.

Change: jobs wait for 500 ms after the last open agent was lost; then jobs that wait, and new ones, are refused with no-worker. The budget of lateness is made only when a job would be late. Simulation: resetLinks(). Tests: JobsWaitForAgentsWhoseLinksWereReset, JobsAreRefusedWhenNoAgentReturns.

--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -76,6 +76,8 @@
         std::uint32_t maxMoves = 2; /**< Most moves of one task; more would discard more work than they save. */
         Duration startTime = std::chrono::milliseconds(1500); /**< Time after the start of the process during which it waits for the handshakes of agents. */
         Duration settleTime = std::chrono::milliseconds(300); /**< Time without another agent beginning to accept starts, after which the startup ends early. */
+        /** Time for which jobs wait for an agent after the last one was lost; links that were reset are open again within 200 ms. */
+        Duration reconnectTime = std::chrono::milliseconds(500);
         /** Time for which a request waits for the first routes if its caller names no time; 2,000 routes take 350 ms over a narrow link. */
         Duration routesTimeout = std::chrono::milliseconds(500);
         double routesWaitShare = 0.75; /**< Share of its caller's time for which a request waits for the first routes; the rest is left to run the job. */
@@ -212,10 +214,12 @@
     void flushStarts(EntryActions &actions);
     void measureBacklogs(const std::vector<JobPointer> &ordered, Instant now);
     [[nodiscard]] Instant usefulUntil(const Job &job) const;
+    [[nodiscard]] bool isWithoutAgents(Instant now) const;
+    void reviewOpenAgents(Instant now);
+    void refuse(const JobPointer &job, const DirectAnswer &refusal, const std::string &detail, Instant now, EntryActions &actions);
     [[nodiscard]] ServiceRates serviceRates(const std::vector<JobPointer> &ordered, Instant now) const;
     [[nodiscard]] Duration expectedWait(const Job &job, double ahead, const ServiceRates &rates) const;
     [[nodiscard]] LatenessBudget latenessBudget(const std::vector<JobPointer> &ordered, const ServiceRates &rates, Instant now) const;
-    bool staysInQueue(const Job &job, Instant expectedEnd, LatenessBudget &budget) const;
     [[nodiscard]] bool isKnownUnfit(Job &job, Instant now) const;
     void reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions);
     void takeForecast(NodeId agent, const RunForecast &forecast, Instant now);
@@ -270,6 +274,7 @@
     std::vector<PendingStart> m_pendingStarts;
     std::optional<Instant> m_startedAt; // first handleTimers() of this process
     std::optional<Instant> m_lastOpened; // when an agent last began to accept starts
+    std::optional<Instant> m_withoutAgentsSince; // no value while an agent accepts starts, and before one has
     std::size_t m_peers = 0;
     bool m_needsPlacement = false;
     Instant m_nextReview;
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -69,6 +69,25 @@
     return !m_lastOpened || now < *m_lastOpened + m_options.settleTime;
 }
 
+/** Returns whether no agent accepts starts, nor is expected to do so shortly. */
+bool DirectEntryCore::isWithoutAgents(Instant now) const
+{
+    if (isStarting(now) || m_agentRegistry.openAgents() > 0) {
+        return false;
+    }
+    return !m_withoutAgentsSince || now >= *m_withoutAgentsSince + m_options.reconnectTime;
+}
+
+/** Records when the last agent that accepted starts was lost. */
+void DirectEntryCore::reviewOpenAgents(Instant now)
+{
+    if (m_agentRegistry.openAgents() > 0) {
+        m_withoutAgentsSince.reset();
+    } else if (m_lastOpened && !m_withoutAgentsSince) {
+        m_withoutAgentsSince = now;
+    }
+}
+
 void DirectEntryCore::setPeers(std::size_t count)
 {
     m_peers = count;
@@ -86,10 +105,10 @@
     if (isStarting(now)) {
         return std::nullopt; // the handshakes of agents follow shortly
     }
-    if (m_agentRegistry.openAgents() == 0) {
-        return DirectAnswer{ DirectVerdict::NotRun, "no-worker", shortestRetryAfter };
+    if (isWithoutAgents(now)) {
+        return noAgent();
     }
-    if (!couldEverRun(route, job)) {
+    if (m_agentRegistry.openAgents() > 0 && !couldEverRun(route, job)) {
         return neverRunnable();
     }
     return std::nullopt;
@@ -140,7 +159,7 @@
     }
     const JobPointer admitted = admit(submission, route, job);
     admitted->hasStarted = hasStarted;
-    admitted->isFitUnknown = isStarting(now);
+    admitted->isFitUnknown = isStarting(now) || m_agentRegistry.openAgents() == 0;
     admitted->requests.push_back(request);
     m_byRequest[request] = admitted;
     m_jobs[job.id] = admitted;
@@ -329,6 +348,7 @@
     if (node) {
         agentLost(*node, lastEcho, actions);
     }
+    reviewOpenAgents(now);
     handleTimers(now, actions);
 }
 
@@ -356,6 +376,7 @@
             m_lastOpened = now;
         }
         m_agentRegistry.setOffer(link, *offer);
+        reviewOpenAgents(now);
         m_needsPlacement = true;
     } else if (const auto *capacity = std::get_if<AgentFreeCapacity>(&message)) {
         m_agentRegistry.setFreeCapacity(link, *capacity);
--- a/modules/direct/directentryqueue.cpp
+++ b/modules/direct/directentryqueue.cpp
@@ -243,52 +243,57 @@
     return budget;
 }
 
-/** Returns whether a job is worth its capacity: it is nearly on time, or its client account still waits and no other job becomes late for it. */
-bool DirectEntryCore::staysInQueue(const Job &job, Instant expectedEnd, LatenessBudget &budget) const
-{
-    if (expectedEnd <= usefulUntil(job)) {
-        return true;
-    }
-    return expectedEnd <= job.deadline && budget.take(job.route.service, job.route.priority, job.work);
-}
-
 /** Returns whether a job that was admitted during the startup has proved to be one that no agent could run. */
 bool DirectEntryCore::isKnownUnfit(Job &job, Instant now) const
 {
-    if (!job.isFitUnknown || isStarting(now)) {
+    if (!job.isFitUnknown || isStarting(now) || m_agentRegistry.openAgents() == 0) {
         return false;
     }
     job.isFitUnknown = false;
     return !job.hasStarted && !couldEverRun(job.route, job.job);
 }
 
+void DirectEntryCore::refuse(const JobPointer &job, const DirectAnswer &refusal, const std::string &detail, Instant now, EntryActions &actions)
+{
+    note(actions, "refused", job->job.id, refusal.reason + detail);
+    answer(job, refusal, now, actions);
+}
+
 void DirectEntryCore::reviewQueue(const std::vector<JobPointer> &ordered, Instant now, EntryActions &actions)
 {
     std::map<std::uint32_t, double> aheadOf; // waiting work of the same priority that is ahead in the queue
+    const bool cannotStart = isWithoutAgents(now);
     const ServiceRates rates = serviceRates(ordered, now);
-    LatenessBudget budget = latenessBudget(ordered, rates, now);
+    std::optional<LatenessBudget> budget; // made for the first job that would be late
+    const auto mayBeLate = [&](const Job &job) {
+        if (!budget) {
+            budget = latenessBudget(ordered, rates, now);
+        }
+        return budget->take(job.route.service, job.route.priority, job.work);
+    };
     for (const JobPointer &job : ordered) {
         if (job->waiting == 0 || job->isClosed) {
             continue;
         }
         if (isKnownUnfit(*job, now)) {
-            const DirectAnswer refusal = neverRunnable();
-            note(actions, "refused", job->job.id, refusal.reason);
-            answer(job, refusal, now, actions);
+            refuse(job, neverRunnable(), "", now, actions);
+            continue;
+        }
+        if (cannotStart && !job->hasStarted) {
+            refuse(job, noAgent(), "", now, actions);
             continue;
         }
         double &ahead = aheadOf[job->route.priority];
         const Duration wait = expectedWait(*job, ahead, rates);
-        if (job->hasStarted || staysInQueue(*job, now + wait + job->chain, budget)) {
+        const Instant expectedEnd = now + wait + job->chain;
+        if (job->hasStarted || expectedEnd <= usefulUntil(*job) || (expectedEnd <= job->deadline && mayBeLate(*job))) {
             ahead += job->work;
             continue;
         }
-        const Duration backlog = std::clamp(wait, shortestRetryAfter, longestRetryAfter);
-        note(actions,
-             "refused",
-             job->job.id,
-             "overloaded, expected wait " + std::to_string(wait.count() / 1000) + " ms after " + std::to_string((now - job->arrived).count() / 1000) + " ms");
-        answer(job, DirectAnswer{ DirectVerdict::NotRun, "overloaded", backlog }, now, actions);
+        const DirectAnswer refusal{ DirectVerdict::NotRun, "overloaded", std::clamp(wait, shortestRetryAfter, longestRetryAfter) };
+        const std::string times
+            = ", expected wait " + std::to_string(wait.count() / 1000) + " ms after " + std::to_string((now - job->arrived).count() / 1000) + " ms";
+        refuse(job, refusal, times, now, actions);
     }
 }
 
--- a/modules/direct/directtimes.h
+++ b/modules/direct/directtimes.h
@@ -23,6 +23,12 @@
     return DirectAnswer{ DirectVerdict::NotRun, "never-runnable", shortestRetryAfter };
 }
 
+/** Returns the refusal of a job while no agent accepts starts. */
+inline DirectAnswer noAgent()
+{
+    return DirectAnswer{ DirectVerdict::NotRun, "no-worker", shortestRetryAfter };
+}
+
 /** Largest head start in the queue of a small job over a large one of the same priority. */
 inline constexpr Duration largestHeadStart = std::chrono::milliseconds(120);
 
--- a/modules/direct/tests/directsimulation.h
+++ b/modules/direct/tests/directsimulation.h
@@ -99,6 +99,9 @@
     /** Drops all messages between an entry and an agent for the given time, without closing the link. */
     void cutLink(std::size_t entry, std::size_t agent, Duration duration);
 
+    /** Resets every link of an entry: both ends see it closed, and the agents open new ones. */
+    void resetLinks(std::size_t entry);
+
     /** Terminates an upstream with all its runs, and starts it again as a new incarnation after the given time. */
     void crashUpstream(std::size_t agent, Duration downFor);
 
--- a/modules/direct/tests/directsimulationfaults.cpp
+++ b/modules/direct/tests/directsimulationfaults.cpp
@@ -28,6 +28,21 @@
     scheduleAfter(downFor, [this, entry] { startEntry(entry); });
 }
 
+void DirectSimulation::resetLinks(std::size_t entry)
+{
+    std::vector<LinkId> open;
+    for (const auto &[link, ends] : m_links) {
+        if (ends.entry == entry && ends.entryOpen) {
+            open.push_back(link);
+        }
+    }
+    for (const LinkId link : open) {
+        closeLinkEnd(link, true);
+        m_entries[entry].core->closeLink(link, m_now, m_entries[entry].actions);
+    }
+    executeEntryActions(entry);
+}
+
 void DirectSimulation::killAgent(std::size_t agent, Duration downFor)
 {
     AgentHost &host = m_agents[agent];
--- a/modules/direct/tests/recoverytest.cpp
+++ b/modules/direct/tests/recoverytest.cpp
@@ -83,4 +83,39 @@
     BOOST_TEST(std::get<AnswerRequest>(*refused).answer.reason == "never-runnable");
 }
 
+// Every connection of an entry is reset. Jobs that arrive until its agents are linked again wait for them.
+BOOST_AUTO_TEST_CASE(JobsWaitForAgentsWhoseLinksWereReset)
+{
+    DirectSimulation::Options options;
+    options.entries = 1;
+    options.agents = 1;
+    Deployment deployment(options);
+    deployment.simulation.resetLinks(0);
+    const std::size_t position = deployment.simulation.submit(0, "reprice", deployment.makeJob(2, 200ms), 200ms, 3s);
+    deployment.simulation.runFor(2s);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed), deployment.submission(position).answer.reason);
+    deployment.checkNoViolation();
+}
+
+// No agent comes back: jobs are refused after the time that links need, not at their client accounts' deadline.
+BOOST_AUTO_TEST_CASE(JobsAreRefusedWhenNoAgentReturns)
+{
+    DirectSimulation::Options options;
+    options.entries = 1;
+    options.agents = 1;
+    Deployment deployment(options);
+    deployment.simulation.killAgent(0, 60s);
+    deployment.simulation.runFor(10ms);
+    const std::size_t position = deployment.simulation.submit(0, "hold", deployment.makeJob(2, 900ms), 900ms, 20s);
+    deployment.simulation.runFor(3s);
+    const std::size_t later = deployment.simulation.submit(0, "hold", deployment.makeJob(2, 900ms), 900ms, 20s);
+    deployment.simulation.runFor(100ms);
+    for (const std::size_t job : { position, later }) {
+        const DirectSimulation::Submission &submission = deployment.submission(job);
+        BOOST_REQUIRE(submission.answeredAt.has_value());
+        BOOST_TEST((submission.answer.verdict == DirectVerdict::NotRun));
+        BOOST_TEST((*submission.answeredAt - submission.submittedAt <= 2s));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
