--- a/modules/direct/tests/overloadtest.cpp
+++ b/modules/direct/tests/overloadtest.cpp
@@ -58,6 +58,7 @@
 {
     FullUpstream upstream(280ms);
     std::vector<std::size_t> jobs;
+    jobs.reserve(10);
     for (int job = 0; job < 10; ++job) {
         jobs.push_back(upstream.simulation.submit(0, "hold", upstream.makeJob(10, 900ms), 900ms, 3s));
     }
@@ -79,6 +80,7 @@
     FullUpstream upstream(400ms);
     const std::size_t waiting = upstream.simulation.submit(0, "hold", upstream.makeJob(2, 900ms), 900ms, 5s);
     std::vector<std::size_t> lookups;
+    lookups.reserve(4);
     for (int job = 0; job < 4; ++job) {
         lookups.push_back(upstream.simulation.submit(0, "lookup", upstream.makeJob(5, 60ms), 60ms, 3s));
     }
--- a/modules/direct/tests/recoverytest.cpp
+++ b/modules/direct/tests/recoverytest.cpp
@@ -3,6 +3,19 @@
 using namespace lagoonroute;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+DirectSimulation::Options singleAgent()
+{
+    DirectSimulation::Options options;
+    options.entries = 1;
+    options.agents = 1;
+    return options;
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(RecoveryTest)
 
 // All hosts lose power, and the upstreams report again one after the other. While only a few of them had reported, an entry took
@@ -86,10 +99,7 @@
 // Every connection of an entry is reset. Jobs that arrive until its agents are linked again wait for them.
 BOOST_AUTO_TEST_CASE(JobsWaitForAgentsWhoseLinksWereReset)
 {
-    DirectSimulation::Options options;
-    options.entries = 1;
-    options.agents = 1;
-    Deployment deployment(options);
+    Deployment deployment(singleAgent());
     deployment.simulation.resetLinks(0);
     const std::size_t position = deployment.simulation.submit(0, "reprice", deployment.makeJob(2, 200ms), 200ms, 3s);
     deployment.simulation.runFor(2s);
@@ -100,10 +110,7 @@
 // No agent comes back: jobs are refused after the time that links need, not at their client accounts' deadline.
 BOOST_AUTO_TEST_CASE(JobsAreRefusedWhenNoAgentReturns)
 {
-    DirectSimulation::Options options;
-    options.entries = 1;
-    options.agents = 1;
-    Deployment deployment(options);
+    Deployment deployment(singleAgent());
     deployment.simulation.killAgent(0, 60s);
     deployment.simulation.runFor(10ms);
     const std::size_t position = deployment.simulation.submit(0, "hold", deployment.makeJob(2, 900ms), 900ms, 20s);
