--- a/review/standins/httpservice.cpp
+++ b/review/standins/httpservice.cpp
@@ -26,11 +26,14 @@
     return { asio::ip::address_v4::loopback(), port };
 }
 
-void reset(tcp::socket &socket)
+/** Time after which a server closes a connection that is not used. */
+constexpr std::chrono::seconds idleTimeout{ 5 };
+
+void reset(beast::tcp_stream &stream)
 {
     boost::system::error_code ignored;
-    socket.set_option(tcp::socket::linger(true, 0), ignored);
-    socket.close(ignored);
+    stream.socket().set_option(tcp::socket::linger(true, 0), ignored);
+    stream.close();
 }
 
 } // namespace
@@ -64,6 +67,22 @@
     }
 }
 
+void HttpService::goSilent()
+{
+    m_isSilent = true;
+    m_silentSockets = m_sockets;
+}
+
+void HttpService::speakAgain()
+{
+    m_isSilent = false;
+}
+
+bool HttpService::isServed(const Socket &socket) const
+{
+    return m_silentSockets.count(socket) == 0;
+}
+
 asio::awaitable<void> HttpService::acceptConnections(std::shared_ptr<tcp::acceptor> acceptor)
 {
     while (true) {
@@ -72,8 +91,11 @@
         if (error) {
             co_return;
         }
-        const auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+        const auto accepted = std::make_shared<beast::tcp_stream>(std::move(socket));
         m_sockets.insert(accepted);
+        if (m_isSilent) {
+            m_silentSockets.insert(accepted);
+        }
         asio::co_spawn(m_loop, serve(accepted), asio::detached);
     }
 }
@@ -84,17 +106,26 @@
     while (m_sockets.count(socket) != 0) {
         boost::system::error_code error;
         http::request<http::string_body> message;
+        socket->expires_after(idleTimeout);
         co_await http::async_read(*socket, buffer, message, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             break;
         }
+        socket->expires_never();
+        if (!isServed(socket)) {
+            if (m_isSilent) {
+                continue; // lost
+            }
+            reset(*socket);
+            break;
+        }
         Request request{ std::string(message.method_string()), std::string(message.target()), {}, message.body() };
         for (const auto &field : message) {
             request.fields[std::string(field.name_string())] = std::string(field.value());
         }
         const std::optional<Response> response = co_await m_handler(std::move(request));
-        if (!response) {
-            co_return; // the connection stays open and silent
+        if (!response || !isServed(socket)) {
+            continue; // the connection stays open and silent
         }
         http::response<http::string_body> answer(static_cast<http::status>(response->status), message.version());
         answer.set(http::field::content_type, "application/json");
@@ -106,6 +137,7 @@
         }
     }
     m_sockets.erase(socket);
+    m_silentSockets.erase(socket);
 }
 
 asio::awaitable<std::optional<Response>> callService(std::uint16_t port, Request request, std::chrono::milliseconds timeout)
--- a/review/standins/httpservice.h
+++ b/review/standins/httpservice.h
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <boost/beast/core/tcp_stream.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -48,17 +50,26 @@
     /** Listens again. */
     void accept();
 
+    /** Loses everything that arrives, without a reset, as behind a cut. */
+    void goSilent();
+
+    /** Serves new connections again. The earlier ones stay silent until their client sends on them, which resets them. */
+    void speakAgain();
+
 private:
-    using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
+    using Socket = std::shared_ptr<boost::beast::tcp_stream>;
 
     boost::asio::awaitable<void> acceptConnections(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
     boost::asio::awaitable<void> serve(Socket socket);
+    [[nodiscard]] bool isServed(const Socket &socket) const;
 
     boost::asio::io_context &m_loop;
     std::uint16_t m_port;
     Handler m_handler;
     std::shared_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::set<Socket> m_sockets;
+    std::set<Socket> m_silentSockets; // of before and during the last silence
+    bool m_isSilent = false;
 };
 
 /** Calls a server on a loopback port. Has no value if there is no complete response in time or the connection ends before it. */
--- a/review/standins/upstream.cpp
+++ b/review/standins/upstream.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t longestLeaseMillis = 1000; // hold-max-ms
 constexpr std::size_t endsInOneAnswer = 500;
 constexpr std::chrono::milliseconds reportInterval{ 1500 }; // heartbeat-ms
+constexpr std::chrono::milliseconds acknowledgementTime{ 1000 }; // after it, a report counts as lost
+constexpr std::chrono::milliseconds reportRetry{ 100 };
 constexpr std::chrono::milliseconds tick{ 2 };
 
 std::int64_t numberIn(const json::object &body, const char *name)
@@ -68,10 +70,36 @@
     m_record.line("CUT: " + m_options.id + " is cut off with " + std::to_string(m_runs.size()) + " runs, and runs on");
 }
 
+void Upstream::cutOffSilently()
+{
+    m_isCutOff = true;
+    m_service->goSilent();
+    m_record.line("CUT: " + m_options.id + " is cut off silently with " + std::to_string(m_runs.size()) + " runs");
+}
+
+void Upstream::restart()
+{
+    while (!m_runs.empty()) {
+        end(m_runs.begin()->first, "crashed");
+    }
+    m_begun = Clock::now();
+    m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    m_token = 0;
+    m_leaseEnd = 0;
+    m_lastEnd = 0;
+    m_lastSeen = 0;
+    m_sequence = 0;
+    m_highestOver.clear();
+    m_ends.clear();
+    m_nextReportAt = Clock::now();
+    m_record.line("RESTART: " + m_options.id + " starts again under its id");
+}
+
 void Upstream::reconnect()
 {
     m_isCutOff = false;
     m_service->accept();
+    m_service->speakAgain();
     m_record.line("CUT ENDS: " + m_options.id);
 }
 
@@ -237,26 +265,33 @@
 asio::awaitable<void> Upstream::report()
 {
     while (true) {
-        if (!m_isCutOff) {
-            const json::object body{ { "service", "booking" },
-                                     { "address", "127.0.0.1:" + std::to_string(m_options.ordersPort) },
-                                     { "zone", m_options.zone },
-                                     { "version", "v1" },
-                                     { "slots", 8 },
-                                     { "state", "ready" },
-                                     { "cold-left-ms", 0 },
-                                     { "capacity", { { "cpu", m_options.cpuMillis }, { "mem-mb", 262'144 }, { "gpu", 0 } } },
-                                     { "labels", { "a", "r1-1" } },
-                                     { "clock-ms", clock() },
-                                     { "born", m_born },
-                                     { "seq", ++m_sequence } };
-            Request request; // g++ 12 destroys an aggregate that is made within the co_await expression twice
-            request.method = "PUT";
-            request.target = "/api/instances/" + m_options.id;
-            request.body = json::serialize(body);
-            co_await callService(m_options.announcePort, std::move(request), 1000ms);
+        co_await pause(tick);
+        if (Clock::now() < m_nextReportAt) {
+            continue;
+        }
+        m_nextReportAt = Clock::now() + acknowledgementTime;
+        ++m_sequence;
+        if (m_isCutOff) {
+            continue;
         }
-        co_await pause(m_sequence < 2 ? 300ms : reportInterval); // the agent may not have been up at the first report
+        const json::object body{ { "service", "booking" },
+                                 { "address", "127.0.0.1:" + std::to_string(m_options.ordersPort) },
+                                 { "zone", m_options.zone },
+                                 { "version", "v1" },
+                                 { "slots", 8 },
+                                 { "state", "ready" },
+                                 { "cold-left-ms", 0 },
+                                 { "capacity", { { "cpu", m_options.cpuMillis }, { "mem-mb", 262'144 }, { "gpu", 0 } } },
+                                 { "labels", { "a", "r1-1" } },
+                                 { "clock-ms", clock() },
+                                 { "born", m_born },
+                                 { "seq", m_sequence } };
+        Request request; // g++ 12 destroys an aggregate that is made within the co_await expression twice
+        request.method = "PUT";
+        request.target = "/api/instances/" + m_options.id;
+        request.body = json::serialize(body);
+        const std::optional<Response> response = co_await callService(m_options.announcePort, std::move(request), acknowledgementTime);
+        m_nextReportAt = Clock::now() + (response ? reportInterval : reportRetry);
     }
 }
 
--- a/review/standins/upstream.h
+++ b/review/standins/upstream.h
@@ -59,6 +59,12 @@
     /** Ends the cut. */
     void reconnect();
 
+    /** Cuts the upstream off silently: what is sent to it is lost, its reports are lost, and it runs on. */
+    void cutOffSilently();
+
+    /** Crashes and starts again under the same id. It holds and knows nothing of before. */
+    void restart();
+
     /** Decides what becomes of each order; by default it is carried out and answered at once. */
     std::function<OrderFate(OrderKind)> fateOf;
 
@@ -114,6 +120,7 @@
     std::uint64_t m_lastEnd = 0;
     std::uint64_t m_lastSeen = 0;
     std::uint64_t m_sequence = 0;
+    Clock::time_point m_nextReportAt;
     bool m_isCutOff = false;
     std::map<std::string, Run> m_runs;
     std::map<std::string, std::int64_t> m_highestOver;
