--- a/review/standins/record.cpp
+++ b/review/standins/record.cpp
@@ -28,6 +28,7 @@
 {
     const std::lock_guard lock(m_mutex);
     write(upstream + " starts " + task + " run " + std::to_string(run));
+    m_starts.push_back(TaskStart{ task, millis() });
     std::set<std::string> &places = m_running[task];
     for (const std::string &other : places) {
         write("TWO RUNS of " + task + ": at " + other + " and " + upstream);
@@ -49,4 +50,10 @@
     return m_overlaps;
 }
 
+std::vector<TaskStart> Record::starts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_starts;
+}
+
 } // namespace review
--- a/review/standins/record.h
+++ b/review/standins/record.h
@@ -22,6 +22,13 @@
     std::int64_t atMillis = 0;
 };
 
+/** Start of a task at an upstream. */
+struct TaskStart
+{
+    std::string task;
+    std::int64_t atMillis = 0;
+};
+
 /** Writes what was sent, answered and run to `record.txt`, and notes which tasks run where. Callable from any thread. */
 class Record
 {
@@ -34,6 +41,7 @@
 
     [[nodiscard]] std::int64_t millis() const;
     [[nodiscard]] std::vector<Overlap> overlaps() const;
+    [[nodiscard]] std::vector<TaskStart> starts() const;
 
 private:
     void write(const std::string &text);
@@ -43,6 +51,7 @@
     std::ofstream m_file;
     std::map<std::string, std::set<std::string>> m_running; // upstreams by task
     std::vector<Overlap> m_overlaps;
+    std::vector<TaskStart> m_starts;
 };
 
 } // namespace review
--- a/review/standins/upstream.h
+++ b/review/standins/upstream.h
@@ -45,7 +45,7 @@
         std::uint16_t ordersPort = 0;
         std::uint16_t announcePort = 0;
         std::int64_t cpuMillis = 64'000;
-        std::chrono::milliseconds stopTime{ 20 }; /**< At most `stop-ms`, 50 ms. */
+        std::chrono::milliseconds stopTime{ 40 }; /**< At most `stop-ms`, 50 ms. */
     };
 
     Upstream(boost::asio::io_context &loop, Options options, Record &record);
