Review case 5: TWICE, a job sent again by a client whose network was lost

An entry whose client vanished without a reset keeps its runs, and another entry starts the same tasks.

--- a/review/build.sh
+++ b/review/build.sh
@@ -14,5 +14,5 @@
 done
 wait
 for object in "$out"/case[1-5].o; do
-    "${compile[@]}" "$object" "$out"/{httpservice,record,upstream,deployment}.o -o "${object%.o}"
+    "${compile[@]}" "$object" "$out"/{httpservice,clientpath,record,upstream,deployment}.o -o "${object%.o}"
 done
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -224,6 +224,9 @@
                                                { "routes", json::array{ route } },
                                                { "services", json::array{ service } },
                                                { "limits", { { "max-header-bytes", 16'384 }, { "max-body-bytes", 262'144 } } } }));
+    for (const EntryPorts &ports : m_entryPorts) {
+        m_paths.push_back(std::make_unique<ClientPath>(m_loop, ports.phones, ports.callers));
+    }
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
@@ -315,6 +318,26 @@
 }
 
 std::future<ClientResult> Deployment::submit(std::size_t entry, const std::string &id, JobShape shape, std::chrono::milliseconds deadline)
+{
+    return submitTo(m_entryPorts.at(entry).callers, entry, id, shape, deadline);
+}
+
+std::future<ClientResult> Deployment::submitFromPhone(std::size_t entry, const std::string &id, JobShape shape, std::chrono::milliseconds deadline)
+{
+    return submitTo(m_entryPorts.at(entry).phones, entry, id, shape, deadline);
+}
+
+void Deployment::loseClients()
+{
+    onLoop([this] {
+        for (const auto &path : m_paths) {
+            path->loseClients();
+        }
+    });
+    m_record.line("CLIENTS lose their network: their connections are broken, the entries see nothing");
+}
+
+std::future<ClientResult> Deployment::submitTo(std::uint16_t port, std::size_t entry, const std::string &id, JobShape shape, std::chrono::milliseconds deadline)
 {
     json::array steps;
     for (int step = 0; step < shape.steps; ++step) {
@@ -328,7 +351,6 @@
     const Request request{
         "POST", "/holds/" + id, { { "Host", "booking.example" }, { "X-Deadline-Ms", std::to_string(deadline.count()) } }, json::serialize(body)
     };
-    const std::uint16_t port = m_entryPorts.at(entry).callers;
     m_record.line("client POST " + id + " to entry " + std::to_string(entry));
     return std::async(std::launch::async, [this, port, request, id, deadline] {
         ClientResult result = call(port, request, deadline);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientpath.h"
 #include "httpservice.h"
 #include "record.h"
 #include "upstream.h"
@@ -107,6 +108,12 @@
     /** Submits a best-effort job and waits for the answer in another thread. */
     std::future<ClientResult> submit(std::size_t entry, const std::string &id, JobShape shape, std::chrono::milliseconds deadline);
 
+    /** As submit(), on a path to the entry that loseClients() breaks. */
+    std::future<ClientResult> submitFromPhone(std::size_t entry, const std::string &id, JobShape shape, std::chrono::milliseconds deadline);
+
+    /** The clients of submitFromPhone() lose their network: they see broken connections, and the entries see nothing. */
+    void loseClients();
+
     /** Cancels a job. */
     ClientResult cancel(std::size_t entry, const std::string &id);
 
@@ -130,8 +137,10 @@
         std::uint16_t ready = freePort();
         std::uint16_t link = freePort();
         std::uint16_t metrics = freePort();
+        std::uint16_t phones = freePort();
     };
 
+    std::future<ClientResult> submitTo(std::uint16_t port, std::size_t entry, const std::string &id, JobShape shape, std::chrono::milliseconds deadline);
     ClientResult call(std::uint16_t port, Request request, std::chrono::milliseconds timeout);
     std::unique_ptr<Process> startProcess(const std::string &role, const std::string &node, const std::string &settings);
     bool isReady(std::size_t entry);
@@ -145,6 +154,7 @@
     std::uint16_t m_storePort = freePort();
     std::vector<EntryPorts> m_entryPorts;
     std::unique_ptr<Store> m_store;
+    std::vector<std::unique_ptr<ClientPath>> m_paths;
     std::vector<std::shared_ptr<Upstream>> m_upstreams;
     std::vector<std::unique_ptr<Process>> m_agents;
     std::vector<std::unique_ptr<Process>> m_entries;
