--- a/review/standins/upstream.cpp
+++ b/review/standins/upstream.cpp
@@ -80,7 +80,8 @@
 void Upstream::restart()
 {
     while (!m_runs.empty()) {
-        end(m_runs.begin()->first, "crashed");
+        const std::string task = m_runs.begin()->first;
+        end(task, "crashed");
     }
     m_begun = Clock::now();
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
