Agents log each lost run with the evidence for its end

Cause: an agent logged upstream-lost with a number of runs, and nothing for a run that it reported as lost because of a new incarnation or a list. From the logs of two hosts it could not be said why a task was placed a second time.

The simulation can cut an upstream off from its agent, silently or with refused connections, while the upstream runs on, and restart it under its id, also behind a cut; an answer whose connection breaks meanwhile does not arrive.

--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -2,9 +2,11 @@
 
 #include <lagoonroute/direct/capacityannouncer.h>
 #include <lagoonroute/direct/documentexchange.h>
+#include <lagoonroute/direct/lossevidence.h>
 #include <lagoonroute/direct/runprogress.h>
 #include <lagoonroute/direct/upstreamevents.h>
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -103,6 +105,12 @@
     /** Number of links on which the handshake is complete. */
     [[nodiscard]] std::size_t entries() const;
 
+    /** Number of runs that were reported as lost on the given evidence since the process started. */
+    [[nodiscard]] std::uint64_t lostRuns(LossEvidence evidence) const noexcept
+    {
+        return m_lostRuns[static_cast<std::size_t>(evidence)];
+    }
+
 private:
     enum class Phase : std::uint8_t {
         Unknown, // no upstream is known, or it is gone
@@ -156,7 +164,9 @@
     void requestStop(const DirectTaskId &task, Run &run, Instant now, UpstreamActions &actions);
     void finish(std::map<DirectTaskId, Run>::iterator run, RunEnd end, const std::string &checkpoint, UpstreamActions &actions);
     void finishUnstarted(std::map<DirectTaskId, Run>::iterator run, StartRefusal reason, UpstreamActions &actions);
-    void loseAllRuns(UpstreamActions &actions);
+    /** Reports a run as lost, with a log entry that names the evidence. */
+    void loseRun(std::map<DirectTaskId, Run>::iterator run, LossEvidence evidence, UpstreamActions &actions);
+    void loseAllRuns(LossEvidence evidence, UpstreamActions &actions);
     void loseUpstream(const std::string &reason, UpstreamActions &actions);
     void beginFencing(Instant now, UpstreamActions &actions);
     void processListedEnds(const StatusQueryAnswered &answer, Instant now, UpstreamActions &actions);
@@ -210,6 +220,7 @@
     UpstreamReport m_persistedReport; // last report passed on to be persisted
     std::optional<UpstreamReport> m_otherIncarnation; // report of another upstream incarnation, not yet confirmed by a list
     std::uint32_t m_unexpectedRuns = 0; // runs in the last list that this agent did not start
+    std::array<std::uint64_t, lossEvidenceCount> m_lostRuns{};
     std::map<DirectTaskId, Run> m_runs;
     std::deque<EndedRun> m_recentlyEnded; // runs that ended recently: a list made before may still contain them
     std::map<LinkId, Link> m_links;
--- a/modules/direct/tests/directsimulation.h
+++ b/modules/direct/tests/directsimulation.h
@@ -105,6 +105,18 @@
     /** Terminates an upstream with all its runs, and starts it again as a new incarnation after the given time. */
     void crashUpstream(std::size_t agent, Duration downFor);
 
+    /** How a cut between an agent and its upstream shows at the agent. The upstream runs on, and its reports are lost. */
+    enum class CutKind {
+        Silent, /**< Nothing passes: orders are lost, and answers time out. */
+        Refused, /**< Connections are reset and refused. */
+    };
+
+    /** Cuts an upstream off from its agent for the given time, which replaces the rest of an earlier cut. */
+    void cutUpstream(std::size_t agent, CutKind kind, Duration duration);
+
+    /** Terminates an upstream with all its runs and starts it again at once under its id, also behind a cut. */
+    void restartUpstream(std::size_t agent);
+
     /** Divides the speed of an upstream by the factor for the given time; with 0, its runs make no progress. */
     void slowUpstream(std::size_t agent, double factor, Duration duration);
 
@@ -175,6 +187,8 @@
         std::unique_ptr<UpstreamModel> upstream;
         bool isUpstreamUp = true;
         bool isDraining = false;
+        std::optional<CutKind> cut;
+        std::uint64_t cutNumber = 0; // of the latest cut
         std::uint64_t reportSequence = 0;
         std::optional<UpstreamReport> persistedReport; // in the platform's store
         std::optional<Instant> upstreamWake;
@@ -182,6 +196,7 @@
         {
             OrderStatusQuery order;
             std::uint64_t incarnation = 0;
+            Instant timeoutAt;
         };
         std::vector<WaitingQuery> queries;
     };
@@ -232,6 +247,16 @@
     void executeOrder(std::size_t agent, const OrderStatusQuery &order);
     template <typename Answer>
     void deliverAnswer(std::size_t agent, std::uint64_t incarnation, const Answer &answer);
+    /** Returns an answer to its agent after the order delay, unless the connection is cut or its upstream restarts meanwhile. */
+    template <typename Answer>
+    void returnAnswer(std::size_t agent, std::uint64_t incarnation, const Answer &answer, Instant timeoutAt);
+    /** Delivers the failure of an order that a cut keeps from the upstream. Returns whether there is a cut. */
+    template <typename Answer>
+    bool failOrderAtCut(std::size_t agent, std::uint64_t incarnation, Answer answer, Instant timeoutAt);
+    /** Fails the waiting status queries of an agent: at once, or, behind a silent cut, at their timeout. */
+    void failWaitingQueries(std::size_t agent);
+    /** Delivers one report of the upstream to its agent. Returns false if a cut or a crash prevents it. */
+    bool deliverReport(std::size_t agent);
     /** Advances the upstream, answers the waiting status queries that have ends to list, and schedules the next update. */
     void updateUpstream(std::size_t agent);
     /** Delivers a report of the upstream to its agent, and schedules the next report. */
--- a/modules/direct/tests/directsimulationfaults.cpp
+++ b/modules/direct/tests/directsimulationfaults.cpp
@@ -12,6 +12,8 @@
 
 /** As in DirectLoop: a process whose event loop made no iteration for longer than this drops its links. */
 constexpr Duration stallTime = 500ms;
+/** Time after which an upstream repeats a report without an acknowledgement. */
+constexpr Duration reportRetry = 1s;
 
 } // namespace
 
@@ -115,11 +117,7 @@
 {
     AgentHost &host = m_agents[agent];
     host.isUpstreamUp = false;
-    for (const auto &query : std::exchange(host.queries, {})) {
-        scheduleAfter(m_options.orderDelay, [this, agent, query] {
-            deliverAnswer(agent, query.incarnation, StatusQueryAnswered{ .query = query.order.query, .result = OrderResult::NoAnswer });
-        });
-    }
+    failWaitingQueries(agent);
     scheduleAfter(downFor, [this, agent] {
         AgentHost &restarted = m_agents[agent];
         restarted.isUpstreamUp = true;
@@ -129,6 +127,29 @@
     });
 }
 
+void DirectSimulation::cutUpstream(std::size_t agent, CutKind kind, Duration duration)
+{
+    AgentHost &host = m_agents[agent];
+    host.cut = kind;
+    failWaitingQueries(agent);
+    scheduleAfter(duration, [this, agent, number = ++host.cutNumber] {
+        if (m_agents[agent].cutNumber == number) {
+            m_agents[agent].cut.reset();
+        }
+    });
+}
+
+void DirectSimulation::restartUpstream(std::size_t agent)
+{
+    AgentHost &host = m_agents[agent];
+    failWaitingQueries(agent);
+    host.upstream->restart(m_now);
+    host.reportSequence = 0;
+    if (!deliverReport(agent)) {
+        scheduleAfter(reportRetry, [this, agent] { deliverReport(agent); });
+    }
+}
+
 void DirectSimulation::slowUpstream(std::size_t agent, double factor, Duration duration)
 {
     m_agents[agent].upstream->setSlowdown(factor, m_now);
--- a/modules/direct/tests/directsimulationorders.cpp
+++ b/modules/direct/tests/directsimulationorders.cpp
@@ -1,6 +1,7 @@
 #include "directsimulation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonroute
 {
@@ -28,25 +29,64 @@
     });
 }
 
+template <typename Answer>
+void DirectSimulation::returnAnswer(std::size_t agent, std::uint64_t incarnation, const Answer &answer, Instant timeoutAt)
+{
+    const std::int64_t upstreamStart = m_agents[agent].upstream->incarnationStart();
+    scheduleAfter(m_options.orderDelay, [this, agent, incarnation, answer, timeoutAt, upstreamStart] {
+        Answer lost = answer;
+        lost.result = OrderResult::NoAnswer;
+        const AgentHost &host = m_agents[agent];
+        if (host.cut == CutKind::Silent) {
+            scheduleAt(timeoutAt, [this, agent, incarnation, lost] { deliverAnswer(agent, incarnation, lost); });
+        } else {
+            const bool isBroken = host.cut == CutKind::Refused || host.upstream->incarnationStart() != upstreamStart;
+            deliverAnswer(agent, incarnation, isBroken ? lost : answer);
+        }
+    });
+}
+
+template <typename Answer>
+bool DirectSimulation::failOrderAtCut(std::size_t agent, std::uint64_t incarnation, Answer answer, Instant timeoutAt)
+{
+    const AgentHost &host = m_agents[agent];
+    if (host.isUpstreamUp && !host.cut) {
+        return false;
+    }
+    if (host.cut == CutKind::Silent) {
+        answer.result = OrderResult::NoAnswer;
+        scheduleAt(timeoutAt, [this, agent, incarnation, answer] { deliverAnswer(agent, incarnation, answer); });
+    } else {
+        answer.result = OrderResult::Refused;
+        scheduleAfter(m_options.orderDelay, [this, agent, incarnation, answer] { deliverAnswer(agent, incarnation, answer); });
+    }
+    return true;
+}
+
 void DirectSimulation::executeOrder(std::size_t agent, const OrderStart &start)
 {
     ++m_messages;
     const std::uint64_t incarnation = m_agents[agent].incarnation;
+    const std::int64_t upstreamStart = m_agents[agent].upstream->incarnationStart();
     const bool isLost = drawLostOrder();
     const Duration delay = isLost && m_isCarriedOutLate ? Duration(2s) + Duration(static_cast<Duration::rep>(m_random() % 10'000'000)) : m_options.orderDelay;
-    scheduleAfter(delay, [this, agent, start, incarnation, isLost] {
+    scheduleAfter(delay, [this, agent, start, incarnation, upstreamStart, isLost, isCut = m_agents[agent].cut.has_value(), timeoutAt = m_now + orderTimeout] {
         AgentHost &host = m_agents[agent];
         StartAnswered answer{ start.task, start.run, OrderResult::Refused };
-        if (host.isUpstreamUp) {
-            const auto before = host.upstream->runningTasks();
-            answer.result = host.upstream->start(start, m_now);
-            if (answer.result == OrderResult::Accepted && std::find(before.begin(), before.end(), start.task) == before.end()) {
-                recordStart(agent, start.task);
-            }
-            updateUpstream(agent);
+        if (isLost && (isCut || !host.isUpstreamUp || host.upstream->incarnationStart() != upstreamStart)) {
+            return; // it did not reach the upstream, or was lost with the incarnation that it reached
         }
+        if (!isLost && failOrderAtCut(agent, incarnation, answer, timeoutAt)) {
+            return;
+        }
+        const auto before = host.upstream->runningTasks();
+        answer.result = host.upstream->start(start, m_now);
+        if (answer.result == OrderResult::Accepted && std::find(before.begin(), before.end(), start.task) == before.end()) {
+            recordStart(agent, start.task);
+        }
+        updateUpstream(agent);
         if (!isLost) {
-            scheduleAfter(m_options.orderDelay, [this, agent, incarnation, answer] { deliverAnswer(agent, incarnation, answer); });
+            returnAnswer(agent, incarnation, answer, timeoutAt);
         }
     });
     if (isLost) {
@@ -60,17 +100,22 @@
 {
     ++m_messages;
     const std::uint64_t incarnation = m_agents[agent].incarnation;
+    const std::int64_t upstreamStart = m_agents[agent].upstream->incarnationStart();
     const bool isLost = drawLostOrder();
     const Duration delay = isLost && m_isCarriedOutLate ? Duration(2s) + Duration(static_cast<Duration::rep>(m_random() % 10'000'000)) : m_options.orderDelay;
-    scheduleAfter(delay, [this, agent, stop, incarnation, isLost] {
+    scheduleAfter(delay, [this, agent, stop, incarnation, upstreamStart, isLost, isCut = m_agents[agent].cut.has_value(), timeoutAt = m_now + orderTimeout] {
         AgentHost &host = m_agents[agent];
         StopAnswered answer{ stop.task, stop.run, OrderResult::Refused };
-        if (host.isUpstreamUp) {
-            answer.result = host.upstream->stop(stop, m_now);
-            updateUpstream(agent);
+        if (isLost && (isCut || !host.isUpstreamUp || host.upstream->incarnationStart() != upstreamStart)) {
+            return;
         }
+        if (!isLost && failOrderAtCut(agent, incarnation, answer, timeoutAt)) {
+            return;
+        }
+        answer.result = host.upstream->stop(stop, m_now);
+        updateUpstream(agent);
         if (!isLost) {
-            scheduleAfter(m_options.orderDelay, [this, agent, incarnation, answer] { deliverAnswer(agent, incarnation, answer); });
+            returnAnswer(agent, incarnation, answer, timeoutAt);
         }
     });
     if (isLost) {
@@ -84,25 +129,23 @@
 {
     ++m_messages;
     const std::uint64_t incarnation = m_agents[agent].incarnation;
+    const Instant timeoutAt = m_now + UpstreamCore::Options().statusQueryTimeout(query);
     if (drawLostOrder()) {
-        scheduleAfter(UpstreamCore::Options().statusQueryTimeout(query), [this, agent, incarnation, query] {
+        scheduleAt(timeoutAt, [this, agent, incarnation, query] {
             deliverAnswer(agent, incarnation, StatusQueryAnswered{ .query = query.query, .result = OrderResult::NoAnswer });
         });
         return;
     }
-    scheduleAfter(m_options.orderDelay, [this, agent, query, incarnation] {
+    scheduleAfter(m_options.orderDelay, [this, agent, query, incarnation, timeoutAt] {
         AgentHost &host = m_agents[agent];
-        if (!host.isUpstreamUp) {
-            scheduleAfter(m_options.orderDelay, [this, agent, incarnation, query] {
-                deliverAnswer(agent, incarnation, StatusQueryAnswered{ .query = query.query, .result = OrderResult::Refused });
-            });
+        if (failOrderAtCut(agent, incarnation, StatusQueryAnswered{ .query = query.query }, timeoutAt)) {
             return;
         }
         StatusQueryAnswered answer = host.upstream->queryStatus(query, m_now);
         updateUpstream(agent);
         if (query.wait > 0ms && answer.result == OrderResult::Accepted && answer.ended.empty()) {
-            host.queries.push_back({ query, incarnation });
-            scheduleAfter(query.wait, [this, agent, number = query.query, incarnation] {
+            host.queries.push_back({ query, incarnation, timeoutAt });
+            scheduleAfter(query.wait, [this, agent, number = query.query, incarnation, timeoutAt] {
                 AgentHost &later = m_agents[agent];
                 const auto waiting = std::find_if(later.queries.begin(), later.queries.end(), [&](const auto &other) {
                     return other.incarnation == incarnation && other.order.query == number;
@@ -110,15 +153,26 @@
                 if (waiting != later.queries.end() && later.isUpstreamUp) {
                     const StatusQueryAnswered late = later.upstream->queryStatus(waiting->order, m_now);
                     later.queries.erase(waiting);
-                    scheduleAfter(m_options.orderDelay, [this, agent, incarnation, late] { deliverAnswer(agent, incarnation, late); });
+                    returnAnswer(agent, incarnation, late, timeoutAt);
                 }
             });
             return;
         }
-        scheduleAfter(m_options.orderDelay, [this, agent, incarnation, answer] { deliverAnswer(agent, incarnation, answer); });
+        returnAnswer(agent, incarnation, answer, timeoutAt);
     });
 }
 
+void DirectSimulation::failWaitingQueries(std::size_t agent)
+{
+    AgentHost &host = m_agents[agent];
+    for (const auto &query : std::exchange(host.queries, {})) {
+        const Instant failsAt = host.cut == CutKind::Silent ? query.timeoutAt : m_now + m_options.orderDelay;
+        scheduleAt(failsAt, [this, agent, query] {
+            deliverAnswer(agent, query.incarnation, StatusQueryAnswered{ .query = query.order.query, .result = OrderResult::NoAnswer });
+        });
+    }
+}
+
 void DirectSimulation::updateUpstream(std::size_t agent)
 {
     AgentHost &host = m_agents[agent];
@@ -134,7 +188,7 @@
             waiting.push_back(query);
             continue;
         }
-        scheduleAfter(m_options.orderDelay, [this, agent, incarnation = query.incarnation, answer] { deliverAnswer(agent, incarnation, answer); });
+        returnAnswer(agent, query.incarnation, answer, query.timeoutAt);
     }
     host.queries = std::move(waiting);
     const auto next = host.upstream->nextEnd();
@@ -148,16 +202,23 @@
     }
 }
 
-void DirectSimulation::report(std::size_t agent)
+bool DirectSimulation::deliverReport(std::size_t agent)
 {
     AgentHost &host = m_agents[agent];
-    if (host.isUpstreamUp) {
-        const UpstreamReport upstreamReport = host.upstream->report(host.isDraining, ++host.reportSequence);
-        runOnNode(host, host.incarnation, [this, agent, upstreamReport] {
-            m_agents[agent].core->handle(upstreamReport, m_now, m_agents[agent].actions);
-            executeAgentActions(agent);
-        });
+    if (!host.isUpstreamUp || host.cut) {
+        return false;
     }
+    const UpstreamReport upstreamReport = host.upstream->report(host.isDraining, ++host.reportSequence);
+    runOnNode(host, host.incarnation, [this, agent, upstreamReport] {
+        m_agents[agent].core->handle(upstreamReport, m_now, m_agents[agent].actions);
+        executeAgentActions(agent);
+    });
+    return true;
+}
+
+void DirectSimulation::report(std::size_t agent)
+{
+    deliverReport(agent);
     scheduleAfter(m_options.reportInterval, [this, agent] { report(agent); });
 }
 
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -168,7 +168,7 @@
             current->second.phase = RunPhase::Stopping;
             current->second.retryStopAt = now;
         } else {
-            finish(current, RunEnd::Lost, "", actions);
+            loseRun(current, LossEvidence::NewIncarnation, actions);
         }
     }
     m_phase = Phase::Fencing;
@@ -195,7 +195,7 @@
     if (m_hasReport || !m_runs.empty()) {
         note(actions, "upstream-lost", m_report.id, reason + ", " + std::to_string(m_runs.size()) + " runs lost", true);
     }
-    loseAllRuns(actions);
+    loseAllRuns(LossEvidence::ConnectionRefused, actions);
     m_hasReport = false;
     m_phase = Phase::Unknown;
     m_unexpectedRuns = 0;
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -169,7 +169,7 @@
                 finish(current, RunEnd::Stopped, "", actions);
             }
         } else if (current->second.phase == RunPhase::Running) {
-            finish(current, RunEnd::Lost, "", actions);
+            loseRun(current, LossEvidence::NotListed, actions);
         }
     }
 }
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -165,10 +165,23 @@
     m_runs.erase(run);
 }
 
-void UpstreamCore::loseAllRuns(UpstreamActions &actions)
+void UpstreamCore::loseRun(std::map<DirectTaskId, Run>::iterator run, LossEvidence evidence, UpstreamActions &actions)
+{
+    ++m_lostRuns[static_cast<std::size_t>(evidence)];
+    const DirectTaskId &task = run->first;
+    note(actions,
+         "run-lost",
+         task.job,
+         "task " + std::to_string(task.step) + "." + std::to_string(task.index) + " run " + std::to_string(run->second.run) + ", "
+             + std::string(lossEvidenceName(evidence)) + " of " + m_report.id + " born " + std::to_string(m_incarnationStart),
+         true);
+    finish(run, RunEnd::Lost, "", actions);
+}
+
+void UpstreamCore::loseAllRuns(LossEvidence evidence, UpstreamActions &actions)
 {
     while (!m_runs.empty()) {
-        finish(m_runs.begin(), RunEnd::Lost, "", actions);
+        loseRun(m_runs.begin(), evidence, actions);
     }
 }
 
@@ -176,7 +189,7 @@
 {
     if (!m_runs.empty() && now > m_leaseUntil) {
         note(actions, "lease-lapsed", m_report.id, std::to_string(m_runs.size()) + " runs lost", true);
-        loseAllRuns(actions);
+        loseAllRuns(LossEvidence::LeaseEnded, actions);
     }
     for (auto &[task, run] : m_runs) {
         if (run.phase == RunPhase::Stopping && now >= run.retryStopAt) {
