A refused connection no longer counts as the end of an upstream's runs

Cause: the agent reported every run of its upstream as lost when a connection to it was refused. The upstream may run on behind such a cut until its lease ends.

Change: a refused connection makes the upstream unresponsive, as three lost answers do. Its runs stay accounted for until its list or the end of the lease shows that they are over. Only the order that was refused is known not to have run. Related: each renewal that could not arrive postponed the end of the lease, so tasks of a silent upstream were never placed again; an unresponsive upstream is asked for its list without a renewal. The phase Unknown is gone, it had no other use.

CrashedUpstreamWithLeftNoticeGivesUpRunsImmediately asserted the fault: the notice may be a late one, and a refused connection is no proof. It is replaced by ...WhenTheirLeaseEnds, with a bound on both sides of that end.

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -263,8 +263,7 @@
         m_metrics.gauge("lagoonroute_free_processors").set(m_core.freeCapacity().cpuMillis);
         m_metrics.gauge("lagoonroute_entries").set(static_cast<std::int64_t>(m_core.entries()));
         m_metrics.gauge("lagoonroute_upstream_open").set(m_core.isOpen() ? 1 : 0);
-        for (const LossEvidence evidence :
-             { LossEvidence::ConnectionRefused, LossEvidence::NewIncarnation, LossEvidence::NotListed, LossEvidence::LeaseEnded }) {
+        for (const LossEvidence evidence : { LossEvidence::NewIncarnation, LossEvidence::NotListed, LossEvidence::LeaseEnded }) {
             const MetricLabels labels{ { "evidence", std::string(lossEvidenceName(evidence)) } };
             m_metrics.gauge("lagoonroute_lost_runs", labels).set(static_cast<std::int64_t>(m_core.lostRuns(evidence)));
         }
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -113,7 +113,6 @@
 
 private:
     enum class Phase : std::uint8_t {
-        Unknown, // no upstream is known, or it is gone
         Fencing, // raising the fencing token until the upstream accepts it
         Clearing, // stopping the runs that an earlier incarnation of the agent left
         Serving,
@@ -167,7 +166,9 @@
     /** Reports a run as lost, with a log entry that names the evidence. */
     void loseRun(std::map<DirectTaskId, Run>::iterator run, LossEvidence evidence, UpstreamActions &actions);
     void loseAllRuns(LossEvidence evidence, UpstreamActions &actions);
-    void loseUpstream(const std::string &reason, UpstreamActions &actions);
+    void connectionRefused(Instant now, UpstreamActions &actions);
+    /** Returns whether so many status queries in a row had no answer that the upstream counts as unresponsive. */
+    [[nodiscard]] bool isUnresponsive() const;
     void beginFencing(Instant now, UpstreamActions &actions);
     void processListedEnds(const StatusQueryAnswered &answer, Instant now, UpstreamActions &actions);
     void processListedRuns(const StatusQueryAnswered &answer, Instant now, UpstreamActions &actions);
@@ -196,7 +197,7 @@
     void note(UpstreamActions &actions, std::string event, std::string subject, std::string detail, bool isWarning = false) const;
 
     Options m_options;
-    Phase m_phase = Phase::Unknown;
+    Phase m_phase = Phase::Fencing;
     bool m_isStopping = false;
     UpstreamReport m_report;
     bool m_hasReport = false;
--- a/include/lagoonroute/direct/upstreamevents.h
+++ b/include/lagoonroute/direct/upstreamevents.h
@@ -71,7 +71,7 @@
     OtherIncarnation, /**< Another incarnation of the upstream answered; nothing was done. */
     Invalid, /**< The upstream cannot interpret the order. */
     NoAnswer, /**< The order may have been carried out, or may still be. */
-    Refused, /**< No process listens at the upstream's address. */
+    Refused, /**< The connection was refused, so the order was not sent. The upstream may still be running. */
 };
 
 /** Answer to OrderStart. */
--- a/modules/direct/tests/hostfaultstest.cpp
+++ b/modules/direct/tests/hostfaultstest.cpp
@@ -120,7 +120,8 @@
     deployment.checkNoViolation();
 }
 
-BOOST_AUTO_TEST_CASE(CrashedUpstreamWithLeftNoticeGivesUpRunsImmediately)
+// The notice may be a late one of an earlier incarnation, and an upstream that refuses connections may run on.
+BOOST_AUTO_TEST_CASE(CrashedUpstreamWithLeftNoticeGivesUpRunsWhenTheirLeaseEnds)
 {
     Deployment deployment;
     const std::size_t position = deployment.simulation.submit(0, "hold", deployment.makeJob(1, 900ms), 900ms, 9s);
@@ -129,7 +130,12 @@
     BOOST_REQUIRE(agent < 11);
     deployment.simulation.crashUpstream(agent, 1h);
     deployment.simulation.deliverUpstreamLeft(agent);
-    deployment.simulation.runFor(1300ms);
+    const DirectTaskId task{ deployment.submission(position).job, 0, 0 };
+    deployment.simulation.runFor(700ms);
+    BOOST_TEST(deployment.simulation.startCount(task) == 1U);
+    deployment.simulation.runFor(150ms); // the lease of 800 ms ends after 836 ms at the latest
+    BOOST_TEST(deployment.simulation.startCount(task) == 2U);
+    deployment.simulation.runFor(1200ms);
     BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
     deployment.checkNoViolation();
 }
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -52,7 +52,6 @@
 
 UpstreamCore::UpstreamCore(Options options)
     : m_options(std::move(options))
-    , m_phase(Phase::Fencing)
     , m_token(m_options.firstToken)
     , m_documents(DocumentExchange::Options().withRequestDelay(0ms))
 {
@@ -84,9 +83,6 @@
     persistReport(report, actions);
     m_hasReport = true;
     m_reportedAt = now;
-    if (m_phase == Phase::Unknown) {
-        beginFencing(now, actions);
-    }
 }
 
 /** Persists a report for the next incarnation of the agent. */
@@ -190,20 +186,27 @@
     handleTimers(now, actions);
 }
 
-void UpstreamCore::loseUpstream(const std::string &reason, UpstreamActions &actions)
+/**
+ * Handles a refused connection. The upstream has ended, or only its connections are refused and its runs go on: they stay
+ * accounted for until a list or the end of their lease shows that they are over.
+ */
+void UpstreamCore::connectionRefused(Instant now, UpstreamActions &actions)
 {
-    if (m_hasReport || !m_runs.empty()) {
-        note(actions, "upstream-lost", m_report.id, reason + ", " + std::to_string(m_runs.size()) + " runs lost", true);
+    if (!isUnresponsive()) {
+        note(actions, "upstream-refuses", m_report.id, std::to_string(m_runs.size()) + " runs under a lease", true);
     }
-    loseAllRuns(LossEvidence::ConnectionRefused, actions);
-    m_hasReport = false;
-    m_phase = Phase::Unknown;
-    m_unexpectedRuns = 0;
+    m_failedQueries = std::max(m_failedQueries, tolerableFailedQueries + 1);
+    m_nextQueryAt = now + queryRetry;
+}
+
+bool UpstreamCore::isUnresponsive() const
+{
+    return m_failedQueries > tolerableFailedQueries;
 }
 
 bool UpstreamCore::isOpen() const
 {
-    return m_phase == Phase::Serving && m_hasReport && !m_report.isDraining && !m_isStopping && m_failedQueries <= tolerableFailedQueries;
+    return m_phase == Phase::Serving && m_hasReport && !m_report.isDraining && !m_isStopping && !isUnresponsive();
 }
 
 Resources UpstreamCore::freeCapacity() const
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -43,8 +43,7 @@
         handleTimers(now, actions);
         return;
     case OrderResult::Refused:
-        loseUpstream("refuses connections", actions);
-        m_nextQueryAt = now + queryRetry;
+        connectionRefused(now, actions);
         handleTimers(now, actions);
         return;
     case OrderResult::OtherIncarnation:
@@ -57,11 +56,13 @@
         if (isNewest && ++m_failedQueries == tolerableFailedQueries + 1) {
             note(actions, "upstream-silent", m_report.id, std::to_string(m_failedQueries) + " status queries without an answer", true);
         }
-        m_nextQueryAt = m_failedQueries > tolerableFailedQueries ? now + queryRetry : now;
+        m_nextQueryAt = isUnresponsive() ? now + queryRetry : now;
         handleTimers(now, actions);
         return;
     }
-    if (std::exchange(m_failedQueries, 0U) > tolerableFailedQueries) {
+    const bool wasUnresponsive = isUnresponsive();
+    m_failedQueries = 0;
+    if (wasUnresponsive) {
         note(actions, "upstream-answers", m_report.id, "");
     }
     if (answer.clock) {
@@ -88,8 +89,6 @@
         ++m_token;
         m_tokenStep = 0;
         m_phase = Phase::Clearing;
-    } else if (m_phase == Phase::Unknown) {
-        m_phase = Phase::Fencing;
     } else if (m_phase == Phase::Clearing && answer.running.empty()) {
         m_phase = Phase::Serving;
         note(actions, "upstream-serving", m_report.id, "token " + std::to_string(m_token));
@@ -190,7 +189,8 @@
         m_isIdleQuery = m_runs.empty();
     }
     OrderStatusQuery order{ header(), slot, m_lastSeenEnd, std::nullopt, wait };
-    if (!m_runs.empty() && m_phase == Phase::Serving) {
+    // While the upstream is unresponsive, a renewal would only postpone the time at which its runs are known to be over.
+    if (!m_runs.empty() && m_phase == Phase::Serving && !isUnresponsive()) {
         order.leaseEnd = leaseEndAt(now);
         extendLease(now);
     }
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -67,9 +67,8 @@
         finishUnstarted(found, StartRefusal::Closed, actions);
         break;
     case OrderResult::Refused:
-        finishUnstarted(found, StartRefusal::Closed, actions);
-        loseUpstream("refuses connections", actions);
-        m_nextQueryAt = now + queryRetry;
+        finishUnstarted(found, StartRefusal::Closed, actions); // nothing was sent
+        connectionRefused(now, actions);
         break;
     }
     handleTimers(now, actions);
@@ -83,8 +82,8 @@
     }
     Run &run = found->second;
     if (answer.result == OrderResult::Refused) {
-        loseUpstream("refuses connections", actions);
-        m_nextQueryAt = now + queryRetry;
+        connectionRefused(now, actions);
+        run.retryStopAt = now + queryRetry;
     } else if (answer.result == OrderResult::Accepted || answer.result == OrderResult::RunTooLow) {
         run.phase = RunPhase::StopAccepted;
         run.phaseQuery = m_lastQuery;
