A new incarnation of an upstream ends no run that it may have accepted itself

Cause: start orders name the upstream's id, not its incarnation, and the agent of an idle upstream learns of a restart up to a second later. When a list showed the new incarnation, the agent took every run with a confirmed start for one of the earlier incarnation and reported it as lost, while the same list showed it at work.

Change: on a new incarnation the agent raises its token and lets the list that it requests after that decide: runs in it go on under a renewed lease, the others are over. The agent opens again when the list shows no run that it did not start, not only when it is empty, and renews leases meanwhile.

Why it works: that request carries a higher token than every order before, so once it is answered no earlier order can be carried out any more, and what the new incarnation had accepted by then is in the list.

UnansweredStartIsRuledOutAtNewIncarnationByRaisedToken, RunsAtNewIncarnationKeepTheirLeaseBesideUnexpectedRun and TasksOfRestartedUpstreamRunAgainAtOnce guard the parts of the change; without the raised token's list, the renewal or the condition for opening one of them fails.

--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -136,6 +136,7 @@
         bool startUnconfirmed = true; // the upstream has not confirmed the start
         bool stopRequested = false;
         std::uint64_t phaseQuery = 0; // queries with a higher number were sent after the phase began
+        std::int64_t incarnation = 0; // start of the upstream incarnation whose list last contained the run, or 0
         Instant phaseBeganAt;
         Instant retryStopAt;
         RunProgress progress;
--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -1,4 +1,6 @@
+#include "agentdriver.h"
 #include "deployment.h"
+#include "upstreamtimes.h"
 
 using namespace lagoonroute;
 using namespace std::chrono_literals;
@@ -108,6 +110,89 @@
     }
 }
 
+// Guards against two runs of one task at once: an upstream that has started again under its id, unnoticed behind a cut, accepts
+// starts, and its first list is no proof that the runs of it are over.
+BOOST_AUTO_TEST_CASE(RunsOfUnnoticedNewIncarnationGoOn)
+{
+    for (const CutKind kind : { CutKind::Silent, CutKind::Refused }) {
+        for (const Duration idle : { 1ms, 50ms, 400ms, 1100ms }) {
+            Deployment deployment;
+            deployment.simulation.runFor(100ms); // so that the pending status queries of idle agents outlast the cut
+            for (std::size_t agent = 0; agent < 11; ++agent) {
+                deployment.simulation.cutUpstream(agent, kind, 300ms);
+            }
+            deployment.simulation.runFor(100ms);
+            for (std::size_t agent = 0; agent < 11; ++agent) {
+                deployment.simulation.restartUpstream(agent);
+            }
+            deployment.simulation.runFor(200ms + idle);
+            const std::size_t position = deployment.simulation.submit(0, "hold", deployment.makeJob(36, 2000ms), 2000ms, 9s);
+            deployment.simulation.runFor(1500ms);
+            for (std::size_t agent = 0; agent < 11; ++agent) {
+                BOOST_TEST(deployment.simulation.agentCore(agent).isOpen(), "agent " << agent);
+            }
+            deployment.simulation.runFor(2500ms);
+            BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+            for (std::uint32_t index = 0; index < 36; ++index) {
+                BOOST_TEST(deployment.simulation.startCount({ deployment.submission(position).job, 0, index }) == 1U);
+            }
+            deployment.checkNoViolation();
+        }
+    }
+}
+
+// The list of a new incarnation proves that the runs of the earlier one are over, so its tasks need not wait for a lease.
+BOOST_AUTO_TEST_CASE(TasksOfRestartedUpstreamRunAgainAtOnce)
+{
+    for (const std::optional<CutKind> kind : { std::optional<CutKind>(), std::optional(CutKind::Silent), std::optional(CutKind::Refused) }) {
+        SingleRun run(2000ms);
+        if (kind) {
+            run.simulation.cutUpstream(run.agent, *kind, 100ms);
+        }
+        run.simulation.runFor(50ms);
+        run.simulation.restartUpstream(run.agent);
+        run.simulation.runFor(50ms + queryRetry + 60ms);
+        BOOST_TEST(run.starts() == 2U);
+        run.simulation.runFor(4s);
+        BOOST_TEST((run.submission(run.position).answer.verdict == DirectVerdict::Completed));
+        run.checkNoViolation();
+    }
+}
+
+// A start without an answer is ruled out only under a token that the new incarnation has accepted: the earlier one's word that it
+// is stopped means nothing there.
+BOOST_AUTO_TEST_CASE(UnansweredStartIsRuledOutAtNewIncarnationByRaisedToken)
+{
+    AgentDriver agent;
+    agent.start(OrderResult::NoAnswer);
+    agent.pass(1ms);
+    agent.answerQuery(AgentDriver::firstIncarnation, {}, {});
+    const OrderStop *stop = agent.last<OrderStop>();
+    BOOST_REQUIRE(stop != nullptr);
+    const std::uint64_t token = stop->header.fencingToken;
+    agent.core.handle(StopAnswered{ agent.task, 1, OrderResult::Accepted }, agent.now, agent.actions);
+    agent.pass(1ms);
+    agent.answerQuery(AgentDriver::firstIncarnation + 1, {}, {});
+    BOOST_TEST(agent.lastMessage<StartRefused>() == nullptr);
+    agent.pass(1ms);
+    BOOST_TEST(agent.last<OrderStatusQuery>()->header.fencingToken > token);
+    agent.answerQuery(AgentDriver::firstIncarnation + 1, {}, {});
+    BOOST_TEST(agent.lastMessage<StartRefused>() != nullptr);
+}
+
+// Runs at a new incarnation keep their lease while the agent has runs stopped there that it did not start.
+BOOST_AUTO_TEST_CASE(RunsAtNewIncarnationKeepTheirLeaseBesideUnexpectedRun)
+{
+    AgentDriver agent;
+    agent.start(OrderResult::Accepted);
+    for (int step = 0; step < 10; ++step) {
+        agent.pass(150ms);
+        agent.answerQuery(AgentDriver::firstIncarnation + 1, { { agent.task, 1, "", 10 }, { { "other", 0, 0 }, 1, "", 10 } }, {});
+    }
+    BOOST_TEST(agent.last<OrderStatusQuery>()->leaseEnd.has_value());
+    BOOST_TEST(agent.core.runs() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(TasksRunOnceAtATimeUnderRandomCuts)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -133,4 +218,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(TasksRunOnceAtATimeUnderRandomCutsAndRestarts)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        DirectSimulation::Options options;
+        options.seed = seed;
+        Deployment deployment(options);
+        Workload workload(deployment.simulation, bookingKinds(), 3, seed);
+        workload.setLoad(seed % 3 == 0 ? 0.5 : 0.1); // idle agents learn late that their upstream has started again
+        std::mt19937_64 random(seed);
+        for (int round = 0; round < 40; ++round) {
+            const std::size_t agent = random() % 11;
+            const auto length = std::chrono::milliseconds(1 + (random() % (random() % 2 == 0 ? 300 : 2500)));
+            const bool isCut = random() % 4 != 0;
+            if (isCut) {
+                deployment.simulation.cutUpstream(agent, random() % 2 == 0 ? CutKind::Silent : CutKind::Refused, length);
+            }
+            workload.run(std::chrono::milliseconds(5 * (random() % 30)));
+            switch (random() % 8) {
+            case 0:
+                deployment.simulation.killAgent(agent, 50ms);
+                break;
+            case 1:
+                deployment.simulation.freezeAgent(agent, length);
+                break;
+            case 2:
+                deployment.simulation.cutLink(random() % 3, agent, length);
+                break;
+            case 3:
+                deployment.simulation.loseOrders(0.1, random() % 2 == 0, 500ms);
+                break;
+            default:
+                deployment.simulation.restartUpstream(agent);
+                break;
+            }
+            workload.run(std::chrono::milliseconds(5 * (random() % 30)));
+        }
+        deployment.simulation.runFor(20s);
+        for (const std::string &violation : deployment.simulation.violations()) {
+            BOOST_ERROR("seed " << seed << ": " << violation);
+        }
+        BOOST_TEST(resultOf(deployment.simulation).unanswered == 0U, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -157,15 +157,10 @@
     m_token = std::max(m_token + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, incarnationStart)));
     m_lastSeenEnd = 0;
     m_unexpectedRuns = 0;
-    // The runs of the earlier incarnation are gone; a start order that it never answered may still reach this one.
-    for (auto run = m_runs.begin(); run != m_runs.end();) {
-        const auto current = run++;
-        if (current->second.startUnconfirmed) {
-            current->second.phase = RunPhase::Stopping;
-            current->second.retryStopAt = now;
-        } else {
-            loseRun(current, LossEvidence::NewIncarnation, actions);
-        }
+    // The new incarnation may have accepted starts before this list or after it. A list that is requested from now on, under the
+    // raised token, shows which runs are there, and that the others are over.
+    for (auto &[task, run] : m_runs) {
+        run.phaseQuery = m_lastQuery;
     }
     m_phase = Phase::Fencing;
 }
@@ -303,7 +298,7 @@
     }
     if (!m_runs.empty()) {
         consider(m_leaseUntil + Duration(1));
-        if (m_phase == Phase::Serving && m_renewingQuery == 0) {
+        if (m_renewingQuery == 0) {
             consider(std::max(m_leaseUntil - (m_options.lease / 2) + Duration(1), m_nextQueryAt));
         }
     }
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -89,7 +89,7 @@
         ++m_token;
         m_tokenStep = 0;
         m_phase = Phase::Clearing;
-    } else if (m_phase == Phase::Clearing && answer.running.empty()) {
+    } else if (m_phase == Phase::Clearing && m_unexpectedRuns == 0) {
         m_phase = Phase::Serving;
         note(actions, "upstream-serving", m_report.id, "token " + std::to_string(m_token));
     }
@@ -138,6 +138,7 @@
             scheduleQuery(now, stopTime);
             continue;
         }
+        run->second.incarnation = m_incarnationStart;
         if (run->second.phase == RunPhase::Starting || run->second.phase == RunPhase::StartUnanswered) {
             run->second.startUnconfirmed = false;
             run->second.phase = RunPhase::Running;
@@ -168,7 +169,8 @@
                 finish(current, RunEnd::Stopped, "", actions);
             }
         } else if (current->second.phase == RunPhase::Running) {
-            loseRun(current, LossEvidence::NotListed, actions);
+            const bool isOfEarlierIncarnation = current->second.incarnation != 0 && current->second.incarnation != m_incarnationStart;
+            loseRun(current, isOfEarlierIncarnation ? LossEvidence::NewIncarnation : LossEvidence::NotListed, actions);
         }
     }
 }
@@ -190,7 +192,7 @@
     }
     OrderStatusQuery order{ header(), slot, m_lastSeenEnd, std::nullopt, wait };
     // While the upstream is unresponsive, a renewal would only postpone the time at which its runs are known to be over.
-    if (!m_runs.empty() && m_phase == Phase::Serving && !isUnresponsive()) {
+    if (!m_runs.empty() && !isUnresponsive()) {
         order.leaseEnd = leaseEndAt(now);
         extendLease(now);
     }
@@ -224,7 +226,7 @@
 void UpstreamCore::renewLease(Instant now, UpstreamActions &actions)
 {
     const bool isDue = m_extraQueryAt && now >= *m_extraQueryAt;
-    const bool isLow = !m_runs.empty() && m_phase == Phase::Serving && m_leaseUntil - now < m_options.lease / 2;
+    const bool isLow = !m_runs.empty() && m_leaseUntil - now < m_options.lease / 2;
     if ((isDue || isLow) && m_renewingQuery == 0 && now >= m_nextQueryAt) {
         m_extraQueryAt.reset();
         queryStatus(now, 0ms, actions);
