A run whose upstream incarnation is not known may hold the longest lease

If an upstream that had started again unnoticed was cut off a second time right after it had accepted starts, those tasks ran on two upstreams at once for up to 0.2 s.

Cause: the end of a lease was counted as 800 ms and 2 % after the last order. The order names that end on the upstream's clock. A new incarnation's clock begins at zero, so the end lies far ahead there, and only its own limit of 1,000 ms counts.

Change: a run that no list of the present incarnation has shown counts as over only after the longest lease; so does every run of an incarnation that was learned late, until its list under the raised token has come. A phase is left only on an answer to a query that was sent in it: the list that revealed the new incarnation passed for one under the raised token. The age of the known clock value is part of the margin.

ReportOfOtherServiceOrLowerSequence... answered one query number three times; it now numbers its answers as an upstream does, its checks are the same.

--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -166,16 +166,24 @@
     void finishUnstarted(std::map<DirectTaskId, Run>::iterator run, StartRefusal reason, UpstreamActions &actions);
     /** Reports a run as lost, with a log entry that names the evidence. */
     void loseRun(std::map<DirectTaskId, Run>::iterator run, LossEvidence evidence, UpstreamActions &actions);
-    void loseAllRuns(LossEvidence evidence, UpstreamActions &actions);
     void connectionRefused(Instant now, UpstreamActions &actions);
     /** Returns whether so many status queries in a row had no answer that the upstream counts as unresponsive. */
     [[nodiscard]] bool isUnresponsive() const;
     void beginFencing(Instant now, UpstreamActions &actions);
+    void enterPhase(Phase phase);
+    /** Enters the next phase if the list that was requested in the present one allows it. */
+    void advancePhase(Instant now, UpstreamActions &actions);
     void processListedEnds(const StatusQueryAnswered &answer, Instant now, UpstreamActions &actions);
     void processListedRuns(const StatusQueryAnswered &answer, Instant now, UpstreamActions &actions);
     void queryStatus(Instant now, Duration wait, UpstreamActions &actions);
     [[nodiscard]] bool hasEndedRecently(const DirectTaskId &task, std::uint32_t run, Instant now) const;
+    /** Records that an order with a lease end is sent now. */
     void extendLease(Instant now);
+    /** Records that the upstream may just have granted the longest lease, because its clock was not known. */
+    void assumeLongestLease(Instant now);
+    /** Returns when every lease that the upstream can hold for the run has ended. */
+    [[nodiscard]] Instant leaseEndOf(const Run &run) const;
+    [[nodiscard]] Instant nextRenewal() const;
     void renewLease(Instant now, UpstreamActions &actions);
     void sendHeartbeats(Instant now, UpstreamActions &actions);
     void sendHellos(Instant now, UpstreamActions &actions);
@@ -199,6 +207,7 @@
 
     Options m_options;
     Phase m_phase = Phase::Fencing;
+    std::uint64_t m_phaseQuery = 0; // queries with a higher number were sent in this phase
     bool m_isStopping = false;
     UpstreamReport m_report;
     bool m_hasReport = false;
@@ -215,7 +224,9 @@
     std::uint64_t m_renewingQuery = 0; // pending query that is answered at once, or 0
     Instant m_nextQueryAt;
     std::optional<Instant> m_extraQueryAt; // when a query that is answered at once is due
-    Instant m_leaseUntil; // latest end of the upstream's lease, by this process's clock
+    Instant m_leaseRenewedAt; // when an order with a lease end was last sent
+    Instant m_leaseUntil; // latest end of the lease at the upstream incarnation that the lists come from, by this process's clock
+    Instant m_longestLeaseUntil; // the same at an incarnation that the agent does not know yet
     std::uint32_t m_failedQueries = 0; // in a row
     std::optional<Instant> m_startedAt; // first handleTimers() of this process
     std::optional<UpstreamReport> m_restoredReport; // persisted by an earlier agent incarnation, not yet confirmed by a list
--- a/modules/direct/tests/agentdriver.h
+++ b/modules/direct/tests/agentdriver.h
@@ -30,7 +30,7 @@
         report(firstIncarnation);
     }
 
-    /** Lets time pass in steps of a millisecond while the entry echoes heartbeats. Returns the orders of that time. */
+    /** Lets time pass in steps of a millisecond while the entry echoes heartbeats. */
     void pass(Duration duration)
     {
         for (const Instant end = now + duration; now < end;) {
@@ -86,6 +86,15 @@
         core.handle(StatusQueryAnswered{ .query = last<OrderStatusQuery>()->query, .result = result }, now, actions);
     }
 
+    /** Leaves status queries without an answer until the upstream counts as unresponsive. */
+    void fallSilent()
+    {
+        while (core.isOpen()) {
+            failQuery(OrderResult::NoAnswer);
+            pass(std::chrono::milliseconds(1));
+        }
+    }
+
     /** Returns the last action of the given type, or null. */
     template <typename Action>
     const Action *last() const
--- a/modules/direct/tests/partstest.cpp
+++ b/modules/direct/tests/partstest.cpp
@@ -175,7 +175,12 @@
     };
     core.handle(first, start, actions);
     for (int step = 0; step < 3; ++step) {
-        core.handle(StatusQueryAnswered{ .query = 1, .result = OrderResult::Accepted, .clock = 1000, .incarnationStart = 5, .running = {}, .ended = {} },
+        core.handle(StatusQueryAnswered{ .query = static_cast<std::uint64_t>(step) + 1,
+                                         .result = OrderResult::Accepted,
+                                         .clock = 1000,
+                                         .incarnationStart = 5,
+                                         .running = {},
+                                         .ended = {} },
                     start,
                     actions);
     }
--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -180,6 +180,64 @@
     BOOST_TEST(agent.lastMessage<StartRefused>() != nullptr);
 }
 
+// An incarnation that the agent does not know yet measures the end of a lease on another clock, and grants its longest lease.
+BOOST_AUTO_TEST_CASE(RunThatNoListHasShownMayHaveTheLongestLease)
+{
+    AgentDriver agent;
+    agent.pass(1500ms); // the lease of an earlier incarnation of the agent has ended
+    agent.start(OrderResult::Accepted);
+    agent.fallSilent();
+    agent.pass(1020ms);
+    BOOST_TEST(agent.lastMessage<TaskEnded>() == nullptr);
+    agent.pass(100ms);
+    BOOST_TEST(agent.lastMessage<TaskEnded>() != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(RunAtNewIncarnationMayHaveTheLongestLease)
+{
+    for (const bool isTokenAccepted : { false, true }) {
+        AgentDriver agent;
+        agent.pass(1500ms); // the lease of an earlier incarnation of the agent has ended
+        agent.start(OrderResult::Accepted);
+        agent.pass(10ms);
+        agent.answerQuery(AgentDriver::firstIncarnation + 1, { { agent.task, 1, "", 10 } }, {});
+        if (isTokenAccepted) {
+            agent.pass(100ms);
+            agent.answerQuery(AgentDriver::firstIncarnation + 1, { { agent.task, 1, "", 10 } }, {});
+        }
+        for (int count = 0; count < 3; ++count) {
+            agent.failQuery(OrderResult::Refused);
+        }
+        agent.pass(1020ms);
+        BOOST_TEST(agent.lastMessage<TaskEnded>() == nullptr);
+        agent.pass(100ms);
+        BOOST_TEST(agent.lastMessage<TaskEnded>() != nullptr);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(SecondCutAfterUnnoticedRestartRepeatsNoRun)
+{
+    for (const CutKind kind : { CutKind::Silent, CutKind::Refused }) {
+        for (const Duration cutAfter : { 1100us, 1150us, 1250us, 1400us, 5000us, 60000us }) {
+            Deployment deployment;
+            deployment.simulation.runFor(100ms);
+            for (std::size_t agent = 0; agent < 11; agent += 2) {
+                deployment.simulation.cutUpstream(agent, CutKind::Silent, 300ms);
+                deployment.simulation.restartUpstream(agent);
+            }
+            deployment.simulation.runFor(350ms);
+            const std::size_t position = deployment.simulation.submit(0, "hold", deployment.makeJob(36, 2000ms), 2000ms, 9s);
+            deployment.simulation.runFor(cutAfter);
+            for (std::size_t agent = 0; agent < 11; agent += 2) {
+                deployment.simulation.cutUpstream(agent, kind, 4s);
+            }
+            deployment.simulation.runFor(9s);
+            BOOST_TEST(deployment.submission(position).answeredAt.has_value());
+            deployment.checkNoViolation();
+        }
+    }
+}
+
 // Runs at a new incarnation keep their lease while the agent has runs stopped there that it did not start.
 BOOST_AUTO_TEST_CASE(RunsAtNewIncarnationKeepTheirLeaseBesideUnexpectedRun)
 {
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -135,7 +135,7 @@
 
 void UpstreamCore::beginFencing(Instant now, UpstreamActions &actions)
 {
-    m_phase = Phase::Fencing;
+    enterPhase(Phase::Fencing);
     m_unexpectedRuns = 0;
     queryStatus(now, 0ms, actions);
 }
@@ -162,7 +162,7 @@
     for (auto &[task, run] : m_runs) {
         run.phaseQuery = m_lastQuery;
     }
-    m_phase = Phase::Fencing;
+    enterPhase(Phase::Fencing);
 }
 
 void UpstreamCore::processPaused(Instant now, UpstreamActions &actions)
@@ -296,13 +296,11 @@
     if (m_extraQueryAt && m_renewingQuery == 0) {
         consider(std::max(*m_extraQueryAt, m_nextQueryAt));
     }
-    if (!m_runs.empty()) {
-        consider(m_leaseUntil + Duration(1));
-        if (m_renewingQuery == 0) {
-            consider(std::max(m_leaseUntil - (m_options.lease / 2) + Duration(1), m_nextQueryAt));
-        }
+    if (!m_runs.empty() && m_renewingQuery == 0) {
+        consider(std::max(nextRenewal(), m_nextQueryAt));
     }
     for (const auto &[task, run] : m_runs) {
+        consider(leaseEndOf(run) + Duration(1));
         if (run.phase == RunPhase::Stopping) {
             consider(run.retryStopAt);
         }
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -39,7 +39,7 @@
     case OrderResult::FenceTooLow:
         m_tokenStep = std::max(m_tokenStep * 2, firstTokenStep);
         m_token += m_tokenStep;
-        m_phase = Phase::Fencing;
+        enterPhase(Phase::Fencing);
         handleTimers(now, actions);
         return;
     case OrderResult::Refused:
@@ -78,22 +78,37 @@
             }
         } else {
             changeIncarnation(*answer.incarnationStart, now, actions);
+            assumeLongestLease(now);
         }
     }
     m_otherIncarnation.reset();
     applyRestoredReport(now, actions);
     processListedEnds(answer, now, actions);
     processListedRuns(answer, now, actions);
+    if (answer.query > m_phaseQuery) {
+        advancePhase(now, actions);
+    }
+    handleTimers(now, actions);
+}
+
+void UpstreamCore::enterPhase(Phase phase)
+{
+    m_phase = phase;
+    m_phaseQuery = m_lastQuery;
+}
+
+void UpstreamCore::advancePhase(Instant now, UpstreamActions &actions)
+{
     if (m_phase == Phase::Fencing) {
         // The upstream accepts this token, so no incarnation of the agent has used a higher one.
         ++m_token;
         m_tokenStep = 0;
-        m_phase = Phase::Clearing;
+        enterPhase(Phase::Clearing);
+        assumeLongestLease(now); // until now, orders for an earlier incarnation may have been carried out
     } else if (m_phase == Phase::Clearing && m_unexpectedRuns == 0) {
-        m_phase = Phase::Serving;
+        enterPhase(Phase::Serving);
         note(actions, "upstream-serving", m_report.id, "token " + std::to_string(m_token));
     }
-    handleTimers(now, actions);
 }
 
 bool UpstreamCore::hasEndedRecently(const DirectTaskId &task, std::uint32_t run, Instant now) const
@@ -194,6 +209,8 @@
     // While the upstream is unresponsive, a renewal would only postpone the time at which its runs are known to be over.
     if (!m_runs.empty() && !isUnresponsive()) {
         order.leaseEnd = leaseEndAt(now);
+    }
+    if (order.leaseEnd) {
         extendLease(now);
     }
     actions.emplace_back(std::move(order));
@@ -216,17 +233,37 @@
     }
 }
 
-/** Records that an order with a lease end is sent now. */
 void UpstreamCore::extendLease(Instant now)
 {
-    const auto leaseTime = std::chrono::duration_cast<Duration>(m_options.lease * slowestClock);
+    m_leaseRenewedAt = now;
+    // Meanwhile the upstream's clock may have fallen behind the time that its last known value suggests.
+    const Duration clockAge = now - m_clockAt;
+    const auto leaseTime = std::chrono::duration_cast<Duration>((m_options.lease + clockAge) * slowestClock) - clockAge;
     m_leaseUntil = std::max(m_leaseUntil, now + leaseTime + leaseMargin);
+    // A new incarnation's clock starts at zero, so every earlier end is far ahead of it and only its own limit counts.
+    m_longestLeaseUntil = std::max(m_longestLeaseUntil, now + m_options.orderTimeout + longestLeaseTime);
+}
+
+void UpstreamCore::assumeLongestLease(Instant now)
+{
+    m_leaseUntil = std::max(m_leaseUntil, now + longestLeaseTime);
+    m_longestLeaseUntil = std::max(m_longestLeaseUntil, m_leaseUntil);
+}
+
+Instant UpstreamCore::leaseEndOf(const Run &run) const
+{
+    return run.incarnation != 0 ? m_leaseUntil : m_longestLeaseUntil;
+}
+
+Instant UpstreamCore::nextRenewal() const
+{
+    return m_leaseRenewedAt + (m_options.lease / 2);
 }
 
 void UpstreamCore::renewLease(Instant now, UpstreamActions &actions)
 {
     const bool isDue = m_extraQueryAt && now >= *m_extraQueryAt;
-    const bool isLow = !m_runs.empty() && m_leaseUntil - now < m_options.lease / 2;
+    const bool isLow = !m_runs.empty() && now >= nextRenewal();
     if ((isDue || isLow) && m_renewingQuery == 0 && now >= m_nextQueryAt) {
         m_extraQueryAt.reset();
         queryStatus(now, 0ms, actions);
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -177,18 +177,13 @@
     finish(run, RunEnd::Lost, "", actions);
 }
 
-void UpstreamCore::loseAllRuns(LossEvidence evidence, UpstreamActions &actions)
-{
-    while (!m_runs.empty()) {
-        loseRun(m_runs.begin(), evidence, actions);
-    }
-}
-
 void UpstreamCore::recheckRuns(Instant now, UpstreamActions &actions)
 {
-    if (!m_runs.empty() && now > m_leaseUntil) {
-        note(actions, "lease-lapsed", m_report.id, std::to_string(m_runs.size()) + " runs lost", true);
-        loseAllRuns(LossEvidence::LeaseEnded, actions);
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto current = run++;
+        if (now > leaseEndOf(current->second)) {
+            loseRun(current, LossEvidence::LeaseEnded, actions);
+        }
     }
     for (auto &[task, run] : m_runs) {
         if (run.phase == RunPhase::Stopping && now >= run.retryStopAt) {
