A lease is not renewed while a run of a lost entry is left under it

An entry that has lost its agent places the tasks again 1.65 s after the last echo, counting on the end of the lease.

Cause: the agent renewed the lease, which holds for all runs of an upstream, also while the stop of a lost entry's run stayed without an answer, and with each start of another entry; so the run could outlive that time. And the time counted with the lease that orders name, not with the longest that an upstream grants.

Evidence: LeaseOfRunWithLostEntryIsNotRenewed: before the change each status query after the loss of the link carries a new lease end.

That limit is a setting now, longestLeaseMs, filled in from the platform's settings, instead of a constant.

Tests: LeaseOfRunWithLostEntryIsNotRenewed, EntryWaitsLongerThanAnAgentMayProlongALease.

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -45,6 +45,7 @@
         , m_core(UpstreamCore::Options()
                      .withNode(m_settings.node, m_settings.zone, static_cast<Incarnation>(MonotonicClock::nowWithSuspension().time_since_epoch().count()))
                      .withFirstToken(static_cast<std::uint64_t>(timeOfDay().time_since_epoch().count()))
+                     .withLongestLease(m_settings.longestLease)
                      .withOfferLifetime(m_settings.offerLifetime))
         , m_schedule(ReconnectSchedule::Options())
         , m_contactsFollower(KeyFollower::Options().withKey(entryContactsKey, StorePurpose::Contact).withSeed(NodeId::fromName(m_settings.node).value),
--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -42,7 +42,7 @@
                    },
                    [this](Instant now) { handleStopSignal(now); },
                    [this, settingsPath] { reloadContacts(settingsPath, m_schedule, m_loop.beginEvent()); } })
-        , m_core(DirectEntryCore::Options().withNode(m_settings.node, m_settings.link).withZone(m_settings.zone))
+        , m_core(DirectEntryCore::Options().withNode(m_settings.node, m_settings.link).withZone(m_settings.zone).withLongestLease(m_settings.longestLease))
         , m_schedule(ReconnectSchedule::Options().withSelf(m_settings.link))
         , m_routesFollower(KeyFollower::Options().withKey(Protocol::routesKey(), StorePurpose::Configuration).withSeed(seed()), routesCall)
         , m_contactsFollower(KeyFollower::Options()
--- a/include/lagoonroute/app/directsettings.h
+++ b/include/lagoonroute/app/directsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lagoonroute/base/time.h>
+#include <lagoonroute/direct/leaselimit.h>
 #include <lagoonroute/observation/log.h>
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     std::vector<ContactSetting> contacts; /**< Some of the entries; any of them may no longer exist. */
     LogLevel logLevel = LogLevel::Info;
     Duration offerLifetime = std::chrono::seconds(5); /**< Agent: how long a report of the upstream is valid. */
+    Duration longestLease = defaultLongestLease; /**< Longest lease that an upstream grants for its runs. */
     Duration withdrawTime = std::chrono::milliseconds(2200); /**< Planned stop: the balancer withdraws the entry after two failed checks, one a second. */
     Duration drainLimit = std::chrono::milliseconds(5500); /**< Planned stop: time after which the process exits even with work left. */
 
--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -3,6 +3,7 @@
 #include <lagoonroute/direct/agentregistry.h>
 #include <lagoonroute/direct/backlograte.h>
 #include <lagoonroute/direct/latenessbudget.h>
+#include <lagoonroute/direct/leaselimit.h>
 #include <lagoonroute/direct/routetable.h>
 #include <lagoonroute/direct/upstreamevents.h>
 #include <lagoonroute/placement/runtimeestimator.h>
@@ -64,8 +65,8 @@
         AgentRegistry::Options agentRegistry;
         /** Time without a heartbeat after which a link is closed; an agent stops the entry's runs after 700 ms. */
         Duration linkTimeout = std::chrono::milliseconds(900);
-        /** Time after the last echo until a run is over for certain: the agent's 700 ms, a lease of 800 ms on a slow clock, and a stop. */
-        Duration confirmationTime = std::chrono::milliseconds(1650);
+        /** Time after the last echo until a run is over for certain: until then the agent may prolong its lease, which then ends. */
+        Duration confirmationTime = confirmationTimeFor(defaultLongestLease);
         /** Time without a link after which an agent is removed; a replaced host returns under another name. */
         Duration agentRetention = std::chrono::seconds(60);
         Duration answerRetention = std::chrono::seconds(10); /**< Time during which a resubmission gets the earlier answer. */
@@ -85,6 +86,14 @@
 
         Options withNode(std::string name, std::string ownAddress) const;
         Options withZone(const std::string &zone) const;
+        /** Sets the confirmation time for upstreams that grant leases of at most the given length. */
+        Options withLongestLease(Duration limit) const;
+
+        /** Returns the confirmation time for upstreams that grant leases of at most the given length. */
+        static constexpr Duration confirmationTimeFor(Duration longestLease)
+        {
+            return agentLinkTimeout + upstreamOrderTimeout + leaseTime(longestLease) + std::chrono::milliseconds(40); // 40 ms: timers of two processes
+        }
     };
 
     explicit DirectEntryCore(Options options);
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -2,6 +2,7 @@
 
 #include <lagoonroute/direct/capacityannouncer.h>
 #include <lagoonroute/direct/documentexchange.h>
+#include <lagoonroute/direct/leaselimit.h>
 #include <lagoonroute/direct/lossevidence.h>
 #include <lagoonroute/direct/runprogress.h>
 #include <lagoonroute/direct/upstreamevents.h>
@@ -32,13 +33,14 @@
         std::string zone;
         Incarnation incarnation = 1;
         std::uint64_t firstToken = 1; /**< First fencing token: the time of day, so that a restarted agent mostly begins above the token of its predecessor. */
-        Duration lease = std::chrono::milliseconds(800); /**< Lease of all runs; below the upstream's own limit of 1 s. */
-        Duration linkTimeout = std::chrono::milliseconds(700); /**< Time without an echo after which the runs of an entry are stopped. */
+        Duration lease = std::chrono::milliseconds(800); /**< Lease of all runs; below the upstream's own limit. */
+        Duration longestLease = defaultLongestLease; /**< The upstream's own limit. */
+        Duration linkTimeout = agentLinkTimeout; /**< Time without an echo after which the runs of an entry are stopped. */
         Duration heartbeatInterval = std::chrono::milliseconds(200); /**< Interval of heartbeats; a link survives two lost ones. */
         Duration idleQueryWait = std::chrono::milliseconds(1000); /**< Time that a long-polling status query waits for the end of a run while nothing runs. */
         /** The same while something runs: a lost answer delays the report of ended runs by at most this long. */
         Duration busyQueryWait = std::chrono::milliseconds(50);
-        Duration orderTimeout = std::chrono::milliseconds(20); /**< Timeout of an answer from the same host, where a round trip takes less than 1 ms. */
+        Duration orderTimeout = upstreamOrderTimeout;
         Duration offerLifetime = std::chrono::milliseconds(5000); /**< Time for which a report is valid; three reports in a row may be lost. */
 
         /** Returns the timeout of a status query: its own waiting time and the time for an answer. */
@@ -50,6 +52,8 @@
         Options withNode(std::string name, std::string availabilityZone, Incarnation processIncarnation) const;
         Options withFirstToken(std::uint64_t token) const;
         Options withLease(Duration term) const;
+        /** Sets the upstream's own limit, and shortens the lease where it exceeds four fifths of the limit. */
+        Options withLongestLease(Duration limit) const;
         Options withOfferLifetime(Duration time) const;
     };
 
@@ -185,6 +189,9 @@
     [[nodiscard]] Instant leaseEndOf(const Run &run) const;
     [[nodiscard]] Instant nextRenewal() const;
     void renewLease(Instant now, UpstreamActions &actions);
+    /** Returns whether a run is left of an entry that is out of contact. */
+    [[nodiscard]] bool hasOrphans(Instant now) const;
+    [[nodiscard]] bool isOrphan(const Run &run, Instant now) const;
     void sendHeartbeats(Instant now, UpstreamActions &actions);
     void sendHellos(Instant now, UpstreamActions &actions);
     void announceOffer(UpstreamActions &actions);
@@ -224,6 +231,7 @@
     std::uint64_t m_renewingQuery = 0; // pending query that is answered at once, or 0
     Instant m_nextQueryAt;
     std::optional<Instant> m_extraQueryAt; // when a query that is answered at once is due
+    std::optional<std::int64_t> m_sentLeaseEnd; // latest lease end sent to this upstream incarnation, on its clock
     Instant m_leaseRenewedAt; // when an order with a lease end was last sent
     Instant m_leaseUntil; // latest end of the lease at the upstream incarnation that the lists come from, by this process's clock
     Instant m_longestLeaseUntil; // the same at an incarnation that the agent does not know yet
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -29,6 +29,13 @@
     return changed;
 }
 
+DirectEntryCore::Options DirectEntryCore::Options::withLongestLease(Duration limit) const
+{
+    Options changed = *this;
+    changed.confirmationTime = confirmationTimeFor(limit);
+    return changed;
+}
+
 DirectEntryCore::Options DirectEntryCore::Options::withZone(const std::string &zone) const
 {
     Options changed = *this;
--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -9,8 +9,7 @@
 namespace
 {
 
-/** Longest time after the last order with a lease end until the runs under that lease are over, on the slowest clock of an upstream. */
-constexpr Duration leaseTime = 816ms;
+const Duration usualLeaseTime = leaseTime(UpstreamCore::Options().lease);
 
 /** A deployment with one running task. */
 struct SingleRun : Deployment
@@ -42,7 +41,7 @@
 {
     SingleRun run(2000ms);
     run.simulation.cutUpstream(run.agent, CutKind::Refused, 5500ms);
-    run.simulation.runFor(leaseTime - 100ms);
+    run.simulation.runFor(usualLeaseTime - 120ms);
     BOOST_TEST(run.starts() == 1U);
     run.simulation.runFor(5s);
     BOOST_TEST(run.starts() == 2U);
@@ -72,7 +71,7 @@
         SingleRun run(2000ms);
         run.simulation.cutUpstream(run.agent, kind, 1h);
         // Renewals may have been sent until three queries in a row had failed.
-        run.simulation.runFor(leaseTime + 3 * UpstreamCore::Options().statusQueryTimeout(OrderStatusQuery{ .wait = 50ms }) + 100ms);
+        run.simulation.runFor(usualLeaseTime + 3 * UpstreamCore::Options().statusQueryTimeout(OrderStatusQuery{ .wait = 50ms }) + 100ms);
         BOOST_TEST(run.starts() == 2U);
         run.simulation.runFor(3s);
         BOOST_TEST((run.submission(run.position).answer.verdict == DirectVerdict::Completed));
@@ -251,6 +250,52 @@
     BOOST_TEST(agent.core.runs() == 1U);
 }
 
+// An entry that is out of contact counts on the end of the lease, so nothing may prolong it while a run of that entry is left: its
+// stop may stay without an answer while renewals get through.
+BOOST_AUTO_TEST_CASE(LeaseOfRunWithLostEntryIsNotRenewed)
+{
+    AgentDriver agent;
+    agent.start(OrderResult::Accepted);
+    agent.answerQuery(AgentDriver::firstIncarnation, { { agent.task, 1, "", 10 } }, {});
+    const auto leaseEnd = agent.last<OrderStatusQuery>()->leaseEnd;
+    BOOST_REQUIRE(leaseEnd.has_value());
+    constexpr LinkId otherLink = 2;
+    agent.core.openLink(otherLink, agent.now, agent.actions);
+    agent.core.receive(otherLink, EntryHello{ "other", "10.0.0.2:1" }, agent.now, agent.actions);
+    agent.core.closeLink(AgentDriver::link, agent.now, agent.actions);
+    agent.actions.clear();
+    for (int step = 0; step < 10; ++step) {
+        agent.pass(50ms);
+        agent.core.receive(otherLink, EntryEcho{ agent.now.time_since_epoch().count() }, agent.now, agent.actions);
+        const OrderStop *stop = agent.last<OrderStop>();
+        if (stop != nullptr) {
+            agent.core.handle(StopAnswered{ agent.task, 1, OrderResult::NoAnswer }, agent.now, agent.actions);
+        }
+        const OrderStatusQuery *query = agent.last<OrderStatusQuery>();
+        if (query != nullptr) {
+            BOOST_TEST(!query->leaseEnd.has_value());
+            agent.answerQuery(AgentDriver::firstIncarnation, { { agent.task, 1, "", 10 } }, {});
+        }
+    }
+    // A start of another entry is accepted, under the lease end that was sent before.
+    agent.core.receive(otherLink, StartTasks{ "second", "", { TaskStart{ 0, 0, 1, { 100, 1, 0 }, "" } } }, agent.now, agent.actions);
+    const OrderStart *start = agent.last<OrderStart>();
+    BOOST_REQUIRE(start != nullptr);
+    BOOST_TEST(start->leaseEnd == *leaseEnd);
+}
+
+BOOST_AUTO_TEST_CASE(EntryWaitsLongerThanAnAgentMayProlongALease)
+{
+    for (const Duration limit : { 300ms, 1000ms, 5000ms }) {
+        const auto agent = UpstreamCore::Options().withLongestLease(limit);
+        const auto entry = DirectEntryCore::Options().withLongestLease(limit);
+        BOOST_TEST((entry.confirmationTime > agent.linkTimeout + agent.orderTimeout + leaseTime(limit)));
+        BOOST_TEST((agent.lease < limit));
+    }
+    BOOST_TEST(
+        (DirectEntryCore::Options().confirmationTime == DirectEntryCore::Options().withLongestLease(UpstreamCore::Options().longestLease).confirmationTime));
+}
+
 BOOST_AUTO_TEST_CASE(TasksRunOnceAtATimeUnderRandomCuts)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -43,6 +43,14 @@
     return changed;
 }
 
+UpstreamCore::Options UpstreamCore::Options::withLongestLease(Duration limit) const
+{
+    Options changed = *this;
+    changed.longestLease = limit;
+    changed.lease = std::min(changed.lease, limit * 4 / 5);
+    return changed;
+}
+
 UpstreamCore::Options UpstreamCore::Options::withOfferLifetime(Duration time) const
 {
     Options changed = *this;
@@ -156,6 +164,7 @@
     // Orders that the earlier incarnation never carried out may still reach this one; a higher token makes it reject them.
     m_token = std::max(m_token + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, incarnationStart)));
     m_lastSeenEnd = 0;
+    m_sentLeaseEnd.reset();
     m_unexpectedRuns = 0;
     // The new incarnation may have accepted starts before this list or after it. A list that is requested from now on, under the
     // raised token, shows which runs are there, and that the others are over.
@@ -296,7 +305,7 @@
     if (m_extraQueryAt && m_renewingQuery == 0) {
         consider(std::max(*m_extraQueryAt, m_nextQueryAt));
     }
-    if (!m_runs.empty() && m_renewingQuery == 0) {
+    if (!m_runs.empty() && m_renewingQuery == 0 && !hasOrphans(Instant::min())) { // handleTimers() has dropped the links without contact
         consider(std::max(nextRenewal(), m_nextQueryAt));
     }
     for (const auto &[task, run] : m_runs) {
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -11,8 +11,8 @@
 
 using namespace std::chrono_literals;
 
-/** Longest lease that an upstream grants, measured on its slowest clock; after this time no run of an earlier agent incarnation is left. */
-constexpr Duration longestEarlierLease = 1100ms;
+/** Time in which orders of an earlier incarnation of the agent may still be on their way. */
+constexpr Duration earlierOrderTime = 60ms;
 /** Time after which a link without a handshake is closed. */
 constexpr Duration handshakeTimeout = 2s;
 
@@ -100,7 +100,7 @@
     if (link.helloSent || link.entry.empty()) {
         return false;
     }
-    const bool isCleared = m_phase == Phase::Serving || (m_startedAt && now > *m_startedAt + longestEarlierLease);
+    const bool isCleared = m_phase == Phase::Serving || (m_startedAt && now > *m_startedAt + earlierOrderTime + leaseTime(m_options.longestLease));
     const bool hasEarlierRuns
         = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &item) { return item.second.entry == link.entry && item.second.link != linkId; });
     return isCleared && !hasEarlierRuns;
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -207,10 +207,11 @@
     }
     OrderStatusQuery order{ header(), slot, m_lastSeenEnd, std::nullopt, wait };
     // While the upstream is unresponsive, a renewal would only postpone the time at which its runs are known to be over.
-    if (!m_runs.empty() && !isUnresponsive()) {
+    if (!m_runs.empty() && !isUnresponsive() && !hasOrphans(now)) {
         order.leaseEnd = leaseEndAt(now);
     }
     if (order.leaseEnd) {
+        m_sentLeaseEnd = order.leaseEnd;
         extendLease(now);
     }
     actions.emplace_back(std::move(order));
@@ -238,15 +239,14 @@
     m_leaseRenewedAt = now;
     // Meanwhile the upstream's clock may have fallen behind the time that its last known value suggests.
     const Duration clockAge = now - m_clockAt;
-    const auto leaseTime = std::chrono::duration_cast<Duration>((m_options.lease + clockAge) * slowestClock) - clockAge;
-    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime + leaseMargin);
+    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime(m_options.lease + clockAge) - clockAge);
     // A new incarnation's clock starts at zero, so every earlier end is far ahead of it and only its own limit counts.
-    m_longestLeaseUntil = std::max(m_longestLeaseUntil, now + m_options.orderTimeout + longestLeaseTime);
+    m_longestLeaseUntil = std::max(m_longestLeaseUntil, now + m_options.orderTimeout + leaseTime(m_options.longestLease));
 }
 
 void UpstreamCore::assumeLongestLease(Instant now)
 {
-    m_leaseUntil = std::max(m_leaseUntil, now + longestLeaseTime);
+    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime(m_options.longestLease));
     m_longestLeaseUntil = std::max(m_longestLeaseUntil, m_leaseUntil);
 }
 
@@ -255,6 +255,17 @@
     return run.incarnation != 0 ? m_leaseUntil : m_longestLeaseUntil;
 }
 
+bool UpstreamCore::isOrphan(const Run &run, Instant now) const
+{
+    const auto link = m_links.find(run.link);
+    return link == m_links.end() || now > link->second.contactUntil;
+}
+
+bool UpstreamCore::hasOrphans(Instant now) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &item) { return isOrphan(item.second, now); });
+}
+
 Instant UpstreamCore::nextRenewal() const
 {
     return m_leaseRenewedAt + (m_options.lease / 2);
@@ -263,7 +274,7 @@
 void UpstreamCore::renewLease(Instant now, UpstreamActions &actions)
 {
     const bool isDue = m_extraQueryAt && now >= *m_extraQueryAt;
-    const bool isLow = !m_runs.empty() && now >= nextRenewal();
+    const bool isLow = !m_runs.empty() && now >= nextRenewal() && !hasOrphans(now);
     if ((isDue || isLow) && m_renewingQuery == 0 && now >= m_nextQueryAt) {
         m_extraQueryAt.reset();
         queryStatus(now, 0ms, actions);
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -104,6 +104,10 @@
     if (!isOpen() || !link.helloSent || now > link.contactUntil || !leaseEndAt(now)) {
         return StartRefusal::Closed;
     }
+    // The start must not prolong the lease of a run whose entry counts on its end.
+    if (hasOrphans(now) && !m_sentLeaseEnd) {
+        return StartRefusal::Closed;
+    }
     if (m_runs.count(task) != 0 || !need.fitsInto(freeCapacity())) {
         return StartRefusal::NoCapacity;
     }
@@ -125,8 +129,11 @@
     run.progress = RunProgress(now);
     m_used = m_used + task.need;
     replaceIdleQuery(now);
-    extendLease(now);
-    actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *leaseEndAt(now) });
+    if (!hasOrphans(now)) {
+        m_sentLeaseEnd = leaseEndAt(now);
+        extendLease(now);
+    }
+    actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *m_sentLeaseEnd });
 }
 
 void UpstreamCore::refuse(LinkId link, const DirectTaskId &task, std::uint32_t run, StartRefusal reason, UpstreamActions &actions)
