A contact that cannot be read is neither kept nor passed on

Reported by operators of similar systems: one odd entry in a list made the processes that read it end again and again, or stop following it.

Seen here: a line such as 127.0.0.1:99999 in the store's list of entries: entries and agents sent each other their lists of addresses without end. No process ended.

Cause: an address entered the schedule unchecked, the list was passed on because it was new, and the address was removed when dialling failed to read it; so it was new again when a neighbour's list came back.

Evidence: direct-system.MalformedContactIsNotPassedOn before the change: 787 lines contact-unreadable at each entry and 795 at each agent within a second, after it at most one for each malformed line and read, and none at agents.

Change: lists of addresses from the store and from links are checked when they are read. ReconnectSchedule::remove() had no other use and is gone.

--- a/include/lagoonroute/app/directagentnode.h
+++ b/include/lagoonroute/app/directagentnode.h
@@ -128,7 +128,7 @@
         m_store.drain(now, [this, now](const StoreReply &reply) {
             if (reply.number == contactsCall) {
                 if (const auto entry = m_contactsFollower.handle(reply, now)) {
-                    m_schedule.addAddresses(readEntryContacts(entry->value), now);
+                    m_schedule.addAddresses(readableAddresses(readEntryContacts(entry->value)), now);
                 }
             } else if (const auto value = m_persistedReport.handle(reply, now)) {
                 restore(*value, now);
@@ -168,7 +168,7 @@
     {
         const Instant now = m_loop.beginEvent();
         if (const auto *list = std::get_if<EntryList>(&message)) {
-            m_schedule.addAddresses(list->addresses, now);
+            m_schedule.addAddresses(readableAddresses(list->addresses), now);
         }
         m_core.receive(link, message, now, m_actions);
     }
--- a/include/lagoonroute/app/directcontacts.h
+++ b/include/lagoonroute/app/directcontacts.h
@@ -5,18 +5,18 @@
 #include <lagoonroute/transport/linkendpoint.h>
 
 #include <string>
+#include <vector>
 
 namespace lagoonroute
 {
 
+/** Returns the addresses that can be dialled. Others, as another writer may have left them in a list, are logged and left out. */
+std::vector<std::string> readableAddresses(const std::vector<std::string> &addresses);
+
 /** Reads the settings file again and adds its contacts to the schedule. An invalid file is logged and changes nothing. */
 void reloadContacts(const std::string &settingsPath, ReconnectSchedule &schedule, Instant now);
 
-/**
- * Dials the addresses that are due.
- *
- * A malformed address, such as one that another process wrote to the store, is logged and removed from the schedule.
- */
+/** Dials the addresses that are due. All of them must be readable. */
 void dialContacts(ReconnectSchedule &schedule, LinkEndpoint &links, Instant now);
 
 } // namespace lagoonroute
--- a/include/lagoonroute/app/directentrynode.h
+++ b/include/lagoonroute/app/directentrynode.h
@@ -197,7 +197,7 @@
 
     void addContacts(const std::vector<std::string> &addresses, Instant now)
     {
-        if (!m_schedule.addAddresses(addresses, now)) {
+        if (!m_schedule.addAddresses(readableAddresses(addresses), now)) {
             return;
         }
         std::vector<std::string> known = m_schedule.addresses();
--- a/include/lagoonroute/direct/reconnectschedule.h
+++ b/include/lagoonroute/direct/reconnectschedule.h
@@ -37,9 +37,6 @@
     /** Records that a link to the address was dialled or is open under this number. */
     void dialled(const std::string &address, LinkId link);
 
-    /** Drops an address. */
-    void remove(const std::string &address);
-
     /** Records that a link is open, which resets the delay of its address. */
     void opened(LinkId link);
 
--- a/modules/app/directcontacts.cpp
+++ b/modules/app/directcontacts.cpp
@@ -8,6 +8,20 @@
 namespace lagoonroute
 {
 
+std::vector<std::string> readableAddresses(const std::vector<std::string> &addresses)
+{
+    std::vector<std::string> readable;
+    for (const std::string &address : addresses) {
+        try {
+            addressFromText(address);
+            readable.push_back(address);
+        } catch (const InvalidDocument &error) {
+            logLine(LogLevel::Warning, "contact-unreadable", { { "fault", error.what() } });
+        }
+    }
+    return readable;
+}
+
 void reloadContacts(const std::string &settingsPath, ReconnectSchedule &schedule, Instant now)
 {
     try {
@@ -22,12 +36,7 @@
 void dialContacts(ReconnectSchedule &schedule, LinkEndpoint &links, Instant now)
 {
     for (const std::string &address : schedule.due(now)) {
-        try {
-            schedule.dialled(address, links.dial(addressFromText(address)));
-        } catch (const InvalidDocument &error) {
-            logLine(LogLevel::Warning, "contact-unreadable", { { "fault", error.what() } });
-            schedule.remove(address);
-        }
+        schedule.dialled(address, links.dial(addressFromText(address)));
     }
 }
 
--- a/modules/direct/reconnectschedule.cpp
+++ b/modules/direct/reconnectschedule.cpp
@@ -61,11 +61,6 @@
     m_targets[address].link = link;
 }
 
-void ReconnectSchedule::remove(const std::string &address)
-{
-    m_targets.erase(address);
-}
-
 void ReconnectSchedule::opened(LinkId link)
 {
     for (auto &[address, target] : m_targets) {
