A list that cannot be read in full ends no run

Reported by operators of similar systems: an odd entry in a list, very deeply nested or with a number too large.

Seen here: nothing by callers. An agent left out unreadable rows of its upstream's list, cut numbers beyond 32 bits, and took an answer without the list for an empty one; the runs that were not in it counted as over and were placed again.

Change: StatusQueryAnswered::isComplete. Readable rows hold; absence from an incomplete list proves nothing, and does not open a restarted agent before every earlier lease has ended.

--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -206,6 +206,8 @@
     void scheduleQuery(Instant now, Duration delay);
     [[nodiscard]] bool usesLongPolling() const;
     void replaceIdleQuery(Instant now);
+    /** Returns whether every lease has ended that an earlier incarnation of the agent may have been granted. */
+    [[nodiscard]] bool haveEarlierLeasesEnded(Instant now) const;
     [[nodiscard]] bool canSendHello(const Link &link, LinkId linkId, Instant now) const;
     [[nodiscard]] std::optional<std::int64_t> leaseEndAt(Instant now) const;
     [[nodiscard]] OrderHeader header() const;
--- a/include/lagoonroute/direct/upstreamevents.h
+++ b/include/lagoonroute/direct/upstreamevents.h
@@ -103,6 +103,7 @@
     std::optional<std::int64_t> incarnationStart; /**< As in UpstreamReport. */
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
+    bool isComplete = true; /**< Whether every row was readable. If not, a run that is not listed may be running all the same. */
 
     auto operator<=>(const StatusQueryAnswered &) const = default;
 };
--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -237,6 +237,26 @@
     }
 }
 
+// A run may be behind a row that cannot be read.
+BOOST_AUTO_TEST_CASE(IncompleteListEndsNoRun)
+{
+    AgentDriver agent;
+    agent.start(OrderResult::Accepted);
+    for (const bool isComplete : { false, true }) {
+        agent.pass(1ms);
+        agent.core.handle(StatusQueryAnswered{ .query = agent.last<OrderStatusQuery>()->query,
+                                               .result = OrderResult::Accepted,
+                                               .clock = 1000,
+                                               .incarnationStart = AgentDriver::firstIncarnation,
+                                               .running = {},
+                                               .ended = {},
+                                               .isComplete = isComplete },
+                          agent.now,
+                          agent.actions);
+        BOOST_TEST((agent.lastMessage<TaskEnded>() != nullptr) == isComplete);
+    }
+}
+
 // Runs at a new incarnation keep their lease while the agent has runs stopped there that it did not start.
 BOOST_AUTO_TEST_CASE(RunsAtNewIncarnationKeepTheirLeaseBesideUnexpectedRun)
 {
@@ -263,7 +283,8 @@
     agent.core.openLink(otherLink, agent.now, agent.actions);
     agent.core.receive(otherLink, EntryHello{ "other", "10.0.0.2:1" }, agent.now, agent.actions);
     agent.core.closeLink(AgentDriver::link, agent.now, agent.actions);
-    agent.actions.clear();
+    agent.answerQuery(AgentDriver::firstIncarnation, { { agent.task, 1, "", 10 } }, {});
+    std::uint64_t answered = agent.last<OrderStatusQuery>()->query - 1;
     for (int step = 0; step < 10; ++step) {
         agent.pass(50ms);
         agent.core.receive(otherLink, EntryEcho{ agent.now.time_since_epoch().count() }, agent.now, agent.actions);
@@ -272,10 +293,10 @@
             agent.core.handle(StopAnswered{ agent.task, 1, OrderResult::NoAnswer }, agent.now, agent.actions);
         }
         const OrderStatusQuery *query = agent.last<OrderStatusQuery>();
-        if (query != nullptr) {
-            BOOST_TEST(!query->leaseEnd.has_value());
-            agent.answerQuery(AgentDriver::firstIncarnation, { { agent.task, 1, "", 10 } }, {});
-        }
+        BOOST_TEST(query->query > answered);
+        answered = query->query;
+        BOOST_TEST(!query->leaseEnd.has_value());
+        agent.answerQuery(AgentDriver::firstIncarnation, { { agent.task, 1, "", 10 } }, {});
     }
     // A start of another entry is accepted, under the lease end that was sent before.
     agent.core.receive(otherLink, StartTasks{ "second", "", { TaskStart{ 0, 0, 1, { 100, 1, 0 }, "" } } }, agent.now, agent.actions);
@@ -284,6 +305,26 @@
     BOOST_TEST(start->leaseEnd == *leaseEnd);
 }
 
+// The lease end that was sent to an earlier incarnation limits nothing at the new one.
+BOOST_AUTO_TEST_CASE(NoStartAtNewIncarnationWhileRunOfLostEntryIsLeft)
+{
+    AgentDriver agent;
+    agent.start(OrderResult::Accepted);
+    constexpr LinkId otherLink = 2;
+    agent.core.openLink(otherLink, agent.now, agent.actions);
+    agent.core.receive(otherLink, EntryHello{ "other", "10.0.0.2:1" }, agent.now, agent.actions);
+    agent.core.closeLink(AgentDriver::link, agent.now, agent.actions);
+    const std::int64_t incarnation = AgentDriver::firstIncarnation + 1;
+    for (int step = 0; step < 3; ++step) {
+        agent.answerQuery(incarnation, { { agent.task, 1, "", 10 } }, {});
+    }
+    agent.report(incarnation);
+    BOOST_REQUIRE(agent.core.isOpen());
+    agent.core.receive(otherLink, StartTasks{ "second", "", { TaskStart{ 0, 0, 1, { 100, 1, 0 }, "" } } }, agent.now, agent.actions);
+    BOOST_TEST(agent.last<OrderStart>()->task.job == agent.task.job);
+    BOOST_TEST(agent.lastMessage<StartRefused>() != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(EntryWaitsLongerThanAnAgentMayProlongALease)
 {
     for (const Duration limit : { 300ms, 1000ms, 5000ms }) {
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -95,12 +95,17 @@
     }
 }
 
+bool UpstreamCore::haveEarlierLeasesEnded(Instant now) const
+{
+    return m_startedAt && now > *m_startedAt + earlierOrderTime + leaseTime(m_options.longestLease);
+}
+
 bool UpstreamCore::canSendHello(const Link &link, LinkId linkId, Instant now) const
 {
     if (link.helloSent || link.entry.empty()) {
         return false;
     }
-    const bool isCleared = m_phase == Phase::Serving || (m_startedAt && now > *m_startedAt + earlierOrderTime + leaseTime(m_options.longestLease));
+    const bool isCleared = m_phase == Phase::Serving || haveEarlierLeasesEnded(now);
     const bool hasEarlierRuns
         = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &item) { return item.second.entry == link.entry && item.second.link != linkId; });
     return isCleared && !hasEarlierRuns;
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -85,7 +85,7 @@
     applyRestoredReport(now, actions);
     processListedEnds(answer, now, actions);
     processListedRuns(answer, now, actions);
-    if (answer.query > m_phaseQuery) {
+    if (answer.query > m_phaseQuery && (answer.isComplete || haveEarlierLeasesEnded(now))) {
         advancePhase(now, actions);
     }
     handleTimers(now, actions);
@@ -172,7 +172,7 @@
         const auto current = run++;
         const auto row = listed.find(current->first);
         const bool isListed = row != listed.end() && row->second == current->second.run;
-        if (isListed || answer.query <= current->second.phaseQuery) {
+        if (isListed || !answer.isComplete || answer.query <= current->second.phaseQuery) {
             continue;
         }
         if (current->second.phase == RunPhase::StartUnanswered) {
