Ends at an unnoticed new incarnation are not acknowledged unseen

Tasks that were done at an upstream that had started again unnoticed were run again.

Cause: a status query acknowledges the ends that the agent has seen by their number. A new incarnation counts its ends from 1, so the first query that reached it discarded ends that the agent had never seen, and the runs counted as lost.

Change: a query acknowledges nothing after an order had no answer or was refused, and when the long query of an idle upstream is replaced, until a later one is answered. Ends that were acknowledged before stay forgotten, so nothing is listed twice.

--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -206,6 +206,7 @@
     void scheduleQuery(Instant now, Duration delay);
     [[nodiscard]] bool usesLongPolling() const;
     void replaceIdleQuery(Instant now);
+    void doubtIncarnation();
     /** Returns whether every lease has ended that an earlier incarnation of the agent may have been granted. */
     [[nodiscard]] bool haveEarlierLeasesEnded(Instant now) const;
     [[nodiscard]] bool canSendHello(const Link &link, LinkId linkId, Instant now) const;
@@ -228,6 +229,7 @@
     std::int64_t m_incarnationStart = 0; // upstream incarnation that the lists come from
     std::uint64_t m_lastSeenEnd = 0;
     std::uint64_t m_lastQuery = 0;
+    std::optional<std::uint64_t> m_doubtedQuery; // the upstream may have restarted unnoticed since; an answer to a later query settles it
     std::uint64_t m_waitingQuery = 0; // pending query that long-polls, or 0
     bool m_isIdleQuery = false; // the pending long-polling query was sent while nothing ran
     std::uint64_t m_renewingQuery = 0; // pending query that is answered at once, or 0
--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -140,6 +140,28 @@
     }
 }
 
+// A new incarnation numbers its ends anew: an acknowledgement that was meant for the earlier one discarded them, and tasks that were
+// done counted as lost.
+BOOST_AUTO_TEST_CASE(EndsAtUnnoticedNewIncarnationAreNotDiscarded)
+{
+    Deployment deployment;
+    const std::size_t earlier = deployment.simulation.submit(0, "reprice", deployment.makeJob(80, 20ms), 20ms, 9s);
+    deployment.simulation.runFor(300ms); // the status queries of the idle agents outlast the cut
+    BOOST_REQUIRE((deployment.submission(earlier).answer.verdict == DirectVerdict::Completed));
+    for (std::size_t agent = 0; agent < 11; ++agent) {
+        deployment.simulation.cutUpstream(agent, CutKind::Silent, 100ms);
+        deployment.simulation.restartUpstream(agent);
+    }
+    deployment.simulation.runFor(150ms);
+    const std::size_t position = deployment.simulation.submit(0, "reprice", deployment.makeJob(36, 20ms), 20ms, 9s);
+    deployment.simulation.runFor(2s);
+    BOOST_TEST((deployment.submission(position).answer.verdict == DirectVerdict::Completed));
+    for (std::uint32_t index = 0; index < 36; ++index) {
+        BOOST_TEST(deployment.simulation.startCount({ deployment.submission(position).job, 0, index }) == 1U);
+    }
+    deployment.checkNoViolation();
+}
+
 // The list of a new incarnation proves that the runs of the earlier one are over, so its tasks need not wait for a lease.
 BOOST_AUTO_TEST_CASE(TasksOfRestartedUpstreamRunAgainAtOnce)
 {
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -199,6 +199,7 @@
     if (!isUnresponsive()) {
         note(actions, "upstream-refuses", m_report.id, std::to_string(m_runs.size()) + " runs under a lease", true);
     }
+    doubtIncarnation();
     m_failedQueries = std::max(m_failedQueries, tolerableFailedQueries + 1);
     m_nextQueryAt = now + queryRetry;
 }
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -35,6 +35,9 @@
     m_nextQueryAt = now;
     switch (answer.result) {
     case OrderResult::Accepted:
+        if (m_doubtedQuery && answer.query > *m_doubtedQuery) {
+            m_doubtedQuery.reset();
+        }
         break;
     case OrderResult::FenceTooLow:
         m_tokenStep = std::max(m_tokenStep * 2, firstTokenStep);
@@ -53,6 +56,7 @@
         handleTimers(now, actions);
         return;
     default:
+        doubtIncarnation();
         if (isNewest && ++m_failedQueries == tolerableFailedQueries + 1) {
             note(actions, "upstream-silent", m_report.id, std::to_string(m_failedQueries) + " status queries without an answer", true);
         }
@@ -205,7 +209,8 @@
     if (wait > 0ms) {
         m_isIdleQuery = m_runs.empty();
     }
-    OrderStatusQuery order{ header(), slot, m_lastSeenEnd, std::nullopt, wait };
+    // A new incarnation numbers its ends anew, so an acknowledgement that is meant for the earlier one would discard them unseen.
+    OrderStatusQuery order{ header(), slot, m_doubtedQuery ? 0 : m_lastSeenEnd, std::nullopt, wait };
     // While the upstream is unresponsive, a renewal would only postpone the time at which its runs are known to be over.
     if (!m_runs.empty() && !isUnresponsive() && !hasOrphans(now)) {
         order.leaseEnd = leaseEndAt(now);
@@ -223,9 +228,15 @@
     if (m_waitingQuery != 0 && std::exchange(m_isIdleQuery, false)) {
         m_waitingQuery = 0;
         m_nextQueryAt = now;
+        doubtIncarnation(); // the idle upstream has not answered for up to a second
     }
 }
 
+void UpstreamCore::doubtIncarnation()
+{
+    m_doubtedQuery = m_lastQuery;
+}
+
 void UpstreamCore::scheduleQuery(Instant now, Duration delay)
 {
     const Instant due = now + delay;
