A start that is given up at the end of the lease is ruled out by a higher token

Seen by callers: not reported. Whether an upstream refuses a start by its own lease end or by the end in force is an open question of docs/design/platform.md; by the latter, a start without an answer could be carried out after its lease had been given up and the lease was renewed for other runs.

Change: giving up such a start raises the fencing token, so the first query that reaches the upstream afterwards rules it out. StartGivenUpAtEndOfLeaseIsFenced failed before.

--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -292,6 +292,20 @@
     BOOST_TEST(agent.core.runs() == 1U);
 }
 
+// A start without an answer may still be carried out when the upstream is back and its lease has been renewed for other runs.
+BOOST_AUTO_TEST_CASE(StartGivenUpAtEndOfLeaseIsFenced)
+{
+    AgentDriver agent;
+    agent.start(OrderResult::NoAnswer);
+    const std::uint64_t token = agent.last<OrderStart>()->header.fencingToken;
+    agent.fallSilent();
+    agent.pass(1200ms);
+    BOOST_TEST(agent.lastMessage<TaskEnded>() != nullptr);
+    agent.failQuery(OrderResult::NoAnswer);
+    agent.pass(300ms);
+    BOOST_TEST(agent.last<OrderStatusQuery>()->header.fencingToken > token);
+}
+
 // An entry that is out of contact counts on the end of the lease, so nothing may prolong it while a run of that entry is left: its
 // stop may stay without an answer while renewals get through.
 BOOST_AUTO_TEST_CASE(LeaseOfRunWithLostEntryIsNotRenewed)
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -189,6 +189,9 @@
     for (auto run = m_runs.begin(); run != m_runs.end();) {
         const auto current = run++;
         if (now > leaseEndOf(current->second)) {
+            if (current->second.startUnconfirmed) {
+                ++m_token; // rules out the start, which may still be on its way
+            }
             loseRun(current, LossEvidence::LeaseEnded, actions);
         }
     }
