An agent follows its upstream again after a report with too large a number

Reported by operators of similar systems: an odd entry with a number too large, after which the machines stopped following.

Seen here: one report of another writer under the id and start of the upstream, with the largest number: every true report has a lower one and was ignored, so the agent took no starts from 5 s later on, until its upstream started again.

Evidence: ReportsAreFollowedAgainAfterOneWithTooLargeNumber failed before.

Change: when the reports have stopped for the offer's lifetime, the next one counts whatever its number, unless the last one said that the upstream is draining.

--- a/modules/direct/tests/partstest.cpp
+++ b/modules/direct/tests/partstest.cpp
@@ -1,9 +1,12 @@
+#include "agentdriver.h"
+
 #include <lagoonroute/direct/direct.h>
 #include <lagoonroute/direct/runprogress.h>
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -201,6 +204,28 @@
     BOOST_TEST(!core.isOpen());
 }
 
+// A report of another writer with a number that is too large kept the agent from following its upstream for good.
+BOOST_AUTO_TEST_CASE(ReportsAreFollowedAgainAfterOneWithTooLargeNumber)
+{
+    AgentDriver agent;
+    agent.core.handle(UpstreamReport{ .id = "u",
+                                      .incarnationStart = AgentDriver::firstIncarnation,
+                                      .sequence = std::numeric_limits<std::int64_t>::max(),
+                                      .service = "s",
+                                      .zone = "z",
+                                      .capacity = { 1000, 10, 0 },
+                                      .labels = {},
+                                      .isDraining = false },
+                      agent.now,
+                      agent.actions);
+    for (Duration passed{ 0 }; passed < UpstreamCore::Options().offerLifetime + 1500ms; passed += 1500ms) {
+        agent.report(AgentDriver::firstIncarnation);
+        agent.pass(1500ms);
+    }
+    agent.report(AgentDriver::firstIncarnation);
+    BOOST_TEST(agent.core.isOpen());
+}
+
 // Guards against one wake-up per link: an agent whose links to many entries opened one after the other woke up separately
 // for the heartbeats of each.
 BOOST_AUTO_TEST_CASE(HeartbeatsOfAllLinksShareWakeUps)
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -258,6 +258,9 @@
     if (m_hasReport && now - m_reportedAt > m_options.offerLifetime) {
         note(actions, "upstream-quiet", m_report.id, "no report within the offer lifetime", true);
         m_hasReport = false;
+        if (!m_report.isDraining) {
+            m_report.sequence = 0; // it may have come from another writer, with a number that the upstream never reaches
+        }
     }
     for (auto link = m_links.begin(); link != m_links.end();) {
         const auto current = link++;
