--- a/tests/harness/childprocess.cpp
+++ b/tests/harness/childprocess.cpp
@@ -29,6 +29,7 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL); // Kills the child also when the test runner itself is killed.
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        close_range(STDERR_FILENO + 1, ~0U, 0); // listeners of the test runner, which would stay open in the child
         execv(arguments.front(), arguments.data());
         _exit(127);
     }
--- a/tests/harness/faultproxy.cpp
+++ b/tests/harness/faultproxy.cpp
@@ -76,6 +76,13 @@
         m_server.close(ignored);
     }
 
+    void reset()
+    {
+        ErrorCode ignored;
+        m_client.set_option(tcp::socket::linger(true, 0), ignored);
+        close();
+    }
+
 private:
     using Buffer = std::array<char, chunkBytes>;
 
@@ -117,11 +124,12 @@
 class FaultProxy::Implementation
 {
 public:
-    Implementation(const std::string &ip, const NodeAddress &target, std::uint64_t seed)
+    Implementation(const std::string &ip, const NodeAddress &target, std::uint64_t seed, std::uint16_t port)
         : m_random(seed)
         , m_target(boost::asio::ip::make_address(target.ip), target.port)
-        , m_acceptor(m_loop, tcp::endpoint(boost::asio::ip::make_address(ip), 0))
-        , m_datagrams(m_loop, udp::endpoint(boost::asio::ip::make_address(ip), m_acceptor.local_endpoint().port()))
+        , m_acceptor(m_loop, tcp::endpoint(boost::asio::ip::make_address(ip), port))
+        , m_endpoint(m_acceptor.local_endpoint())
+        , m_datagrams(m_loop, udp::endpoint(m_endpoint.address(), m_endpoint.port()))
     {
         accept();
         receive();
@@ -139,8 +147,7 @@
 
     [[nodiscard]] NodeAddress address() const
     {
-        const auto endpoint = m_acceptor.local_endpoint();
-        return { endpoint.address().to_string(), endpoint.port() };
+        return { m_endpoint.address().to_string(), m_endpoint.port() };
     }
 
     void setFaults(const Faults &faults)
@@ -148,13 +155,16 @@
         std::promise<void> done;
         boost::asio::post(m_loop, [&] {
             m_faults = faults;
-            if (faults.cut) {
+            if (faults.cut || faults.refused) {
                 for (const auto &relay : std::exchange(m_relays, {})) {
                     if (const auto open = relay.lock()) {
-                        open->close();
+                        faults.refused ? open->reset() : open->close();
                     }
                 }
             }
+            if (faults.refused == m_acceptor.is_open()) {
+                faults.refused ? m_acceptor.close() : listenAgain();
+            }
             done.set_value();
         });
         done.get_future().wait();
@@ -175,9 +185,18 @@
         std::string content;
     };
 
+    void listenAgain()
+    {
+        m_acceptor = tcp::acceptor(m_loop, m_endpoint, true);
+        accept();
+    }
+
     void accept()
     {
         m_acceptor.async_accept([this](const ErrorCode &error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
             if (!error && !m_faults.cut) {
                 const auto relay = std::make_shared<Relay>(m_loop, m_faults, std::move(socket));
                 m_relays.insert(relay);
@@ -250,6 +269,7 @@
     tcp::endpoint m_target;
     boost::asio::io_context m_loop{ 1 };
     tcp::acceptor m_acceptor;
+    tcp::endpoint m_endpoint;
     udp::socket m_datagrams;
     udp::endpoint m_sender;
     std::array<char, chunkBytes> m_buffer{};
@@ -259,8 +279,8 @@
     std::thread m_thread;
 };
 
-FaultProxy::FaultProxy(const std::string &ip, const NodeAddress &target, std::uint64_t seed)
-    : m_implementation(std::make_unique<Implementation>(ip, target, seed))
+FaultProxy::FaultProxy(const std::string &ip, const NodeAddress &target, std::uint64_t seed, std::uint16_t port)
+    : m_implementation(std::make_unique<Implementation>(ip, target, seed, port))
 {
 }
 
--- a/tests/harness/faultproxy.h
+++ b/tests/harness/faultproxy.h
@@ -14,6 +14,7 @@
 {
     Duration delay{ 0 }; /**< Delay of every TCP chunk in both directions, and of every datagram to the target. */
     bool cut = false; /**< Closes every connection, closes new ones at once and drops datagrams. */
+    bool refused = false; /**< Resets every connection and refuses new ones; needs a port that no outgoing connection takes meanwhile. */
     bool halfOpen = false; /**< Leaves connections open but forwards nothing. */
     bool answersLost = false; /**< Forwards requests and closes the connection when the answer arrives. */
     std::size_t answerBytes = 0; /**< With `answersLost`, number of bytes of the answer that are still forwarded. */
@@ -26,8 +27,8 @@
 class FaultProxy
 {
 public:
-    /** Listens on a free port of the IP address for TCP and UDP, and forwards everything to the target. */
-    FaultProxy(const std::string &ip, const NodeAddress &target, std::uint64_t seed);
+    /** Listens on a port of the IP address for TCP and UDP, by default a free one, and forwards everything to the target. */
+    FaultProxy(const std::string &ip, const NodeAddress &target, std::uint64_t seed, std::uint16_t port = 0);
     ~FaultProxy();
 
     FaultProxy(const FaultProxy &) = delete;
