--- a/include/lagoonroute/direct/directentrycore.h
+++ b/include/lagoonroute/direct/directentrycore.h
@@ -92,7 +92,7 @@
         /** Returns the confirmation time for upstreams that grant leases of at most the given length. */
         static constexpr Duration confirmationTimeFor(Duration longestLease)
         {
-            return agentLinkTimeout + upstreamOrderTimeout + leaseTime(longestLease) + std::chrono::milliseconds(40); // 40 ms: timers of two processes
+            return agentLinkTimeout + upstreamOrderTimeout + leaseTime(longestLease) + timerSlack;
         }
     };
 
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -206,6 +206,7 @@
     void scheduleQuery(Instant now, Duration delay);
     [[nodiscard]] bool usesLongPolling() const;
     void replaceIdleQuery(Instant now);
+    /** Records that the upstream may have restarted unnoticed, until a later query is answered. */
     void doubtIncarnation();
     /** Returns whether every lease has ended that an earlier incarnation of the agent may have been granted. */
     [[nodiscard]] bool haveEarlierLeasesEnded(Instant now) const;
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -37,6 +37,7 @@
         }
         break;
     case OrderResult::NoAnswer:
+        doubtIncarnation();
         if (run.phase == RunPhase::Starting) {
             note(actions, "start-unanswered", answer.task.job, "run " + std::to_string(answer.run), true);
             run.phase = RunPhase::StartUnanswered;
@@ -93,6 +94,8 @@
     } else {
         if (answer.result == OrderResult::FenceTooLow) {
             beginFencing(now, actions);
+        } else if (answer.result == OrderResult::NoAnswer) {
+            doubtIncarnation();
         }
         run.retryStopAt = now + stopRetry;
     }
