The account of an upstream's lease is a class of its own

Change: UpstreamLease; the options of DirectEntryCore in a file of their own. No decision is meant to change; all tests of the module pass.

--- a/include/lagoonroute/direct/direct.h
+++ b/include/lagoonroute/direct/direct.h
@@ -20,3 +20,4 @@
 #include <lagoonroute/direct/routetable.h>
 #include <lagoonroute/direct/upstreamcore.h>
 #include <lagoonroute/direct/upstreamevents.h>
+#include <lagoonroute/direct/upstreamlease.h>
--- a/include/lagoonroute/direct/upstreamcore.h
+++ b/include/lagoonroute/direct/upstreamcore.h
@@ -6,6 +6,7 @@
 #include <lagoonroute/direct/lossevidence.h>
 #include <lagoonroute/direct/runprogress.h>
 #include <lagoonroute/direct/upstreamevents.h>
+#include <lagoonroute/direct/upstreamlease.h>
 
 #include <array>
 #include <deque>
@@ -181,13 +182,8 @@
     void processListedRuns(const StatusQueryAnswered &answer, Instant now, UpstreamActions &actions);
     void queryStatus(Instant now, Duration wait, UpstreamActions &actions);
     [[nodiscard]] bool hasEndedRecently(const DirectTaskId &task, std::uint32_t run, Instant now) const;
-    /** Records that an order with a lease end is sent now. */
-    void extendLease(Instant now);
-    /** Records that the upstream may just have granted the longest lease, because its clock was not known. */
-    void assumeLongestLease(Instant now);
     /** Returns when every lease that the upstream can hold for the run has ended. */
     [[nodiscard]] Instant leaseEndOf(const Run &run) const;
-    [[nodiscard]] Instant nextRenewal() const;
     void renewLease(Instant now, UpstreamActions &actions);
     /** Returns whether a run is left of an entry that is out of contact. */
     [[nodiscard]] bool hasOrphans(Instant now) const;
@@ -211,7 +207,6 @@
     /** Returns whether every lease has ended that an earlier incarnation of the agent may have been granted. */
     [[nodiscard]] bool haveEarlierLeasesEnded(Instant now) const;
     [[nodiscard]] bool canSendHello(const Link &link, LinkId linkId, Instant now) const;
-    [[nodiscard]] std::optional<std::int64_t> leaseEndAt(Instant now) const;
     [[nodiscard]] OrderHeader header() const;
     [[nodiscard]] AgentOffer offer() const;
     void note(UpstreamActions &actions, std::string event, std::string subject, std::string detail, bool isWarning = false) const;
@@ -225,8 +220,7 @@
     Instant m_reportedAt;
     std::uint64_t m_token = 1;
     std::uint64_t m_tokenStep = 0; // last increment of the token
-    std::optional<std::int64_t> m_clock; // the upstream's clock at m_clockAt
-    Instant m_clockAt;
+    UpstreamLease m_lease;
     std::int64_t m_incarnationStart = 0; // upstream incarnation that the lists come from
     std::uint64_t m_lastSeenEnd = 0;
     std::uint64_t m_lastQuery = 0;
@@ -236,10 +230,6 @@
     std::uint64_t m_renewingQuery = 0; // pending query that is answered at once, or 0
     Instant m_nextQueryAt;
     std::optional<Instant> m_extraQueryAt; // when a query that is answered at once is due
-    std::optional<std::int64_t> m_sentLeaseEnd; // latest lease end sent to this upstream incarnation, on its clock
-    Instant m_leaseRenewedAt; // when an order with a lease end was last sent
-    Instant m_leaseUntil; // latest end of the lease at the upstream incarnation that the lists come from, by this process's clock
-    Instant m_longestLeaseUntil; // the same at an incarnation that the agent does not know yet
     std::uint32_t m_failedQueries = 0; // in a row
     std::optional<Instant> m_startedAt; // first handleTimers() of this process
     std::optional<UpstreamReport> m_restoredReport; // persisted by an earlier agent incarnation, not yet confirmed by a list
--- a/modules/direct/directentrycore.cpp
+++ b/modules/direct/directentrycore.cpp
@@ -20,29 +20,6 @@
 
 } // namespace
 
-DirectEntryCore::Options DirectEntryCore::Options::withNode(std::string name, std::string ownAddress) const
-{
-    Options changed = *this;
-    changed.agentRegistry = changed.agentRegistry.withSeed(NodeId::fromName(name).value);
-    changed.node = std::move(name);
-    changed.address = std::move(ownAddress);
-    return changed;
-}
-
-DirectEntryCore::Options DirectEntryCore::Options::withLongestLease(Duration limit) const
-{
-    Options changed = *this;
-    changed.confirmationTime = confirmationTimeFor(limit);
-    return changed;
-}
-
-DirectEntryCore::Options DirectEntryCore::Options::withZone(const std::string &zone) const
-{
-    Options changed = *this;
-    changed.agentRegistry = changed.agentRegistry.withZone(zone);
-    return changed;
-}
-
 DirectEntryCore::DirectEntryCore(Options options)
     : m_options(std::move(options))
     , m_agentRegistry(m_options.agentRegistry)
--- /dev/null
+++ b/modules/direct/directentryoptions.cpp
@@ -0,0 +1,31 @@
+#include <lagoonroute/direct/directentrycore.h>
+
+#include <utility>
+
+namespace lagoonroute
+{
+
+DirectEntryCore::Options DirectEntryCore::Options::withNode(std::string name, std::string ownAddress) const
+{
+    Options changed = *this;
+    changed.agentRegistry = changed.agentRegistry.withSeed(NodeId::fromName(name).value);
+    changed.node = std::move(name);
+    changed.address = std::move(ownAddress);
+    return changed;
+}
+
+DirectEntryCore::Options DirectEntryCore::Options::withLongestLease(Duration limit) const
+{
+    Options changed = *this;
+    changed.confirmationTime = confirmationTimeFor(limit);
+    return changed;
+}
+
+DirectEntryCore::Options DirectEntryCore::Options::withZone(const std::string &zone) const
+{
+    Options changed = *this;
+    changed.agentRegistry = changed.agentRegistry.withZone(zone);
+    return changed;
+}
+
+} // namespace lagoonroute
--- a/modules/direct/upstreamcore.cpp
+++ b/modules/direct/upstreamcore.cpp
@@ -13,11 +13,6 @@
 
 using namespace std::chrono_literals;
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 UpstreamCore::Options UpstreamCore::Options::withNode(std::string name, std::string availabilityZone, Incarnation processIncarnation) const
@@ -61,6 +56,7 @@
 UpstreamCore::UpstreamCore(Options options)
     : m_options(std::move(options))
     , m_token(m_options.firstToken)
+    , m_lease(m_options.lease, m_options.longestLease, m_options.orderTimeout)
     , m_documents(DocumentExchange::Options().withRequestDelay(0ms))
 {
 }
@@ -164,7 +160,6 @@
     // Orders that the earlier incarnation never carried out may still reach this one; a higher token makes it reject them.
     m_token = std::max(m_token + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, incarnationStart)));
     m_lastSeenEnd = 0;
-    m_sentLeaseEnd.reset();
     m_unexpectedRuns = 0;
     // The new incarnation may have accepted starts before this list or after it. A list that is requested from now on, under the
     // raised token, shows which runs are there, and that the others are over.
@@ -228,14 +223,6 @@
     return static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(), [](const auto &item) { return item.second.helloSent; }));
 }
 
-std::optional<std::int64_t> UpstreamCore::leaseEndAt(Instant now) const
-{
-    if (!m_clock) {
-        return std::nullopt;
-    }
-    return *m_clock + milliseconds(now - m_clockAt) + milliseconds(m_options.lease);
-}
-
 OrderHeader UpstreamCore::header() const
 {
     return OrderHeader{ m_hasReport ? m_report.id : std::string(), m_token };
@@ -310,7 +297,7 @@
         consider(std::max(*m_extraQueryAt, m_nextQueryAt));
     }
     if (!m_runs.empty() && m_renewingQuery == 0 && !hasOrphans(Instant::min())) { // handleTimers() has dropped the links without contact
-        consider(std::max(nextRenewal(), m_nextQueryAt));
+        consider(std::max(m_lease.nextRenewal(), m_nextQueryAt));
     }
     for (const auto &[task, run] : m_runs) {
         consider(leaseEndOf(run) + Duration(1));
--- a/modules/direct/upstreamlinks.cpp
+++ b/modules/direct/upstreamlinks.cpp
@@ -97,7 +97,7 @@
 
 bool UpstreamCore::haveEarlierLeasesEnded(Instant now) const
 {
-    return m_startedAt && now > *m_startedAt + earlierOrderTime + leaseTime(m_options.longestLease);
+    return m_startedAt && now > *m_startedAt + earlierOrderTime + m_lease.longestTime();
 }
 
 bool UpstreamCore::canSendHello(const Link &link, LinkId linkId, Instant now) const
--- a/modules/direct/upstreamlists.cpp
+++ b/modules/direct/upstreamlists.cpp
@@ -70,8 +70,7 @@
         note(actions, "upstream-answers", m_report.id, "");
     }
     if (answer.clock) {
-        m_clock = answer.clock;
-        m_clockAt = now;
+        m_lease.setClock(*answer.clock, now);
     }
     if (answer.incarnationStart && *answer.incarnationStart != m_incarnationStart) {
         const bool isFirst = m_incarnationStart == 0 && m_runs.empty();
@@ -82,7 +81,7 @@
             }
         } else {
             changeIncarnation(*answer.incarnationStart, now, actions);
-            assumeLongestLease(now);
+            m_lease.beginIncarnation(now);
         }
     }
     m_otherIncarnation.reset();
@@ -108,7 +107,7 @@
         ++m_token;
         m_tokenStep = 0;
         enterPhase(Phase::Clearing);
-        assumeLongestLease(now); // until now, orders for an earlier incarnation may have been carried out
+        m_lease.assumeLongest(now); // until now, orders for an earlier incarnation may have been carried out
     } else if (m_phase == Phase::Clearing && m_unexpectedRuns == 0) {
         enterPhase(Phase::Serving);
         note(actions, "upstream-serving", m_report.id, "token " + std::to_string(m_token));
@@ -213,11 +212,10 @@
     OrderStatusQuery order{ header(), slot, m_doubtedQuery ? 0 : m_lastSeenEnd, std::nullopt, wait };
     // While the upstream is unresponsive, a renewal would only postpone the time at which its runs are known to be over.
     if (!m_runs.empty() && !isUnresponsive() && !hasOrphans(now)) {
-        order.leaseEnd = leaseEndAt(now);
+        order.leaseEnd = m_lease.endAt(now);
     }
     if (order.leaseEnd) {
-        m_sentLeaseEnd = order.leaseEnd;
-        extendLease(now);
+        m_lease.renew(now);
     }
     actions.emplace_back(std::move(order));
 }
@@ -245,25 +243,9 @@
     }
 }
 
-void UpstreamCore::extendLease(Instant now)
-{
-    m_leaseRenewedAt = now;
-    // Meanwhile the upstream's clock may have fallen behind the time that its last known value suggests.
-    const Duration clockAge = now - m_clockAt;
-    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime(m_options.lease + clockAge) - clockAge);
-    // A new incarnation's clock starts at zero, so every earlier end is far ahead of it and only its own limit counts.
-    m_longestLeaseUntil = std::max(m_longestLeaseUntil, now + m_options.orderTimeout + leaseTime(m_options.longestLease));
-}
-
-void UpstreamCore::assumeLongestLease(Instant now)
-{
-    m_leaseUntil = std::max(m_leaseUntil, now + leaseTime(m_options.longestLease));
-    m_longestLeaseUntil = std::max(m_longestLeaseUntil, m_leaseUntil);
-}
-
 Instant UpstreamCore::leaseEndOf(const Run &run) const
 {
-    return run.incarnation != 0 ? m_leaseUntil : m_longestLeaseUntil;
+    return m_lease.endOfRun(run.incarnation != 0);
 }
 
 bool UpstreamCore::isOrphan(const Run &run, Instant now) const
@@ -277,15 +259,10 @@
     return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &item) { return isOrphan(item.second, now); });
 }
 
-Instant UpstreamCore::nextRenewal() const
-{
-    return m_leaseRenewedAt + (m_options.lease / 2);
-}
-
 void UpstreamCore::renewLease(Instant now, UpstreamActions &actions)
 {
     const bool isDue = m_extraQueryAt && now >= *m_extraQueryAt;
-    const bool isLow = !m_runs.empty() && now >= nextRenewal() && !hasOrphans(now);
+    const bool isLow = !m_runs.empty() && now >= m_lease.nextRenewal() && !hasOrphans(now);
     if ((isDue || isLow) && m_renewingQuery == 0 && now >= m_nextQueryAt) {
         m_extraQueryAt.reset();
         queryStatus(now, 0ms, actions);
--- a/modules/direct/upstreamruns.cpp
+++ b/modules/direct/upstreamruns.cpp
@@ -104,11 +104,11 @@
 
 std::optional<StartRefusal> UpstreamCore::refusalOf(const DirectTaskId &task, const Resources &need, const Link &link, Instant now) const
 {
-    if (!isOpen() || !link.helloSent || now > link.contactUntil || !leaseEndAt(now)) {
+    if (!isOpen() || !link.helloSent || now > link.contactUntil || !m_lease.endAt(now)) {
         return StartRefusal::Closed;
     }
     // The start must not prolong the lease of a run whose entry counts on its end.
-    if (hasOrphans(now) && !m_sentLeaseEnd) {
+    if (hasOrphans(now) && !m_lease.sentEnd()) {
         return StartRefusal::Closed;
     }
     if (m_runs.count(task) != 0 || !need.fitsInto(freeCapacity())) {
@@ -133,10 +133,9 @@
     m_used = m_used + task.need;
     replaceIdleQuery(now);
     if (!hasOrphans(now)) {
-        m_sentLeaseEnd = leaseEndAt(now);
-        extendLease(now);
+        m_lease.renew(now);
     }
-    actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *m_sentLeaseEnd });
+    actions.emplace_back(OrderStart{ header(), id, task.run, order.spec, task.checkpoint, *m_lease.sentEnd() });
 }
 
 void UpstreamCore::refuse(LinkId link, const DirectTaskId &task, std::uint32_t run, StartRefusal reason, UpstreamActions &actions)
