Test: a restarted agent beside a list that cannot be read in full

The condition under which such an agent opens, that every earlier lease has ended, had no test that failed without it. Taken out, the agent never opens; always true, it opens before an earlier run has ended: the new test fails in both cases (1 and 10 checks). Only a test is added.

--- a/modules/direct/tests/runendtest.cpp
+++ b/modules/direct/tests/runendtest.cpp
@@ -279,6 +279,40 @@
     }
 }
 
+// A run of an earlier incarnation of the agent may be behind such a row; its lease ends without renewals.
+BOOST_AUTO_TEST_CASE(RestartedAgentServesBesideIncompleteListOnceEarlierLeasesHaveEnded)
+{
+    UpstreamCore core(UpstreamCore::Options().withNode("agent", "plateau", 1));
+    UpstreamActions actions;
+    const Instant start(100s);
+    std::uint64_t query = 0;
+    const auto answerAt = [&](Instant now) {
+        core.handleTimers(now, actions);
+        core.handle(StatusQueryAnswered{ .query = ++query,
+                                         .result = OrderResult::Accepted,
+                                         .clock = 1000,
+                                         .incarnationStart = AgentDriver::firstIncarnation,
+                                         .running = {},
+                                         .ended = {},
+                                         .isComplete = false },
+                    now,
+                    actions);
+    };
+    core.handle(
+        UpstreamReport{
+            .id = "u", .incarnationStart = 5, .sequence = 1, .service = "s", .zone = "z", .capacity = { 1000, 10, 0 }, .labels = {}, .isDraining = false },
+        start,
+        actions);
+    for (Duration passed{ 0 }; passed <= 1000ms; passed += 100ms) {
+        answerAt(start + passed);
+        BOOST_TEST(!core.isOpen());
+    }
+    for (Duration passed = 1200ms; passed <= 1500ms; passed += 100ms) {
+        answerAt(start + passed);
+    }
+    BOOST_TEST(core.isOpen());
+}
+
 // Runs at a new incarnation keep their lease while the agent has runs stopped there that it did not start.
 BOOST_AUTO_TEST_CASE(RunsAtNewIncarnationKeepTheirLeaseBesideUnexpectedRun)
 {
