Review case 7: a stopped entry cuts a request that waits for capacity

SIGTERM to an entry while a request that it has read waits in the queue: it exits 5.5 s later and the connection ends without an answer, though the client's deadline (7 s) and the route's timeout (10 s) are not reached and nothing of the job has started.

--- /dev/null
+++ b/review/standins-2/json.cpp
@@ -0,0 +1,2 @@
+// The JSON library, compiled into the stand-ins.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/review/standins-2/worker.cpp
@@ -0,0 +1,217 @@
+#include "worker.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace review
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+/** Longest lease that the worker grants, `hold-max-ms`. */
+constexpr std::int64_t longestLease = 1000;
+
+std::int64_t numberOf(const json::object &body, const char *name)
+{
+    const json::value *value = body.if_contains(name);
+    return value == nullptr ? 0 : value->to_number<std::int64_t>();
+}
+
+} // namespace
+
+std::size_t Starts::add(const Start &start)
+{
+    const std::lock_guard lock(m_mutex);
+    m_starts.push_back(start);
+    return m_starts.size() - 1;
+}
+
+void Starts::end(std::size_t index, std::int64_t at, const std::string &how)
+{
+    const std::lock_guard lock(m_mutex);
+    m_starts[index].endedAt = at;
+    m_starts[index].how = how;
+}
+
+std::vector<Start> Starts::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_starts;
+}
+
+Worker::Worker(WorkerOptions options, Record &record, Starts &starts)
+    : m_options(std::move(options))
+    , m_record(record)
+    , m_starts(starts)
+    , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , m_service(std::make_unique<HttpService>(m_options.port, [this](const Request &request) { return serve(request); }))
+    , m_ticker([this] { tick(); })
+{
+}
+
+Worker::~Worker()
+{
+    m_isStopping = true;
+    m_changed.notify_all();
+    m_ticker.join();
+    m_service.reset();
+}
+
+void Worker::setReporting(bool isReporting)
+{
+    m_isReporting = isReporting;
+}
+
+std::int64_t Worker::clock() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_begin).count();
+}
+
+json::object Worker::heartbeat()
+{
+    const std::lock_guard lock(m_mutex);
+    return { { "service", m_options.service },
+             { "address", "127.0.0.1:" + std::to_string(m_options.port) },
+             { "zone", "zone" },
+             { "version", "v1" },
+             { "slots", 8 },
+             { "state", "ready" },
+             { "cold-left-ms", 0 },
+             { "capacity", { { "cpu", m_options.cpu }, { "mem-mb", 262'144 }, { "gpu", 0 } } },
+             { "labels", { "a", "r1-1" } },
+             { "clock-ms", clock() },
+             { "born", m_born },
+             { "seq", ++m_sequence } };
+}
+
+void Worker::tick()
+{
+    Clock::time_point nextReport = Clock::now();
+    while (!m_isStopping) {
+        {
+            const std::lock_guard lock(m_mutex);
+            advance();
+        }
+        if (m_isReporting && Clock::now() >= nextReport) {
+            const Request report{ "PUT", "/api/instances/" + m_options.id, { { "Content-Type", "application/json" } }, json::serialize(heartbeat()) };
+            const bool isAcknowledged = call(m_options.control, report, 1000ms).status == 200;
+            nextReport = Clock::now() + (isAcknowledged ? m_options.heartbeat : 200ms);
+        }
+        std::this_thread::sleep_for(2ms);
+    }
+}
+
+void Worker::endRun(const std::string &task, const std::string &how)
+{
+    const Run run = m_runs.at(task);
+    m_runs.erase(task);
+    m_highestRun[task] = std::max(m_highestRun[task], run.number);
+    m_ends.push_back(End{ ++m_lastEnd, task, run.number, how });
+    m_starts.end(run.index, m_record.now(), how);
+    m_record.write(m_options.id + " ends " + task + " run " + std::to_string(run.number) + ": " + how);
+    m_changed.notify_all();
+}
+
+void Worker::advance()
+{
+    std::vector<std::pair<std::string, std::string>> over;
+    for (const auto &[task, run] : m_runs) {
+        if (clock() - run.startedAt >= run.work) {
+            over.emplace_back(task, "done");
+        } else if (clock() > m_leaseEnd) {
+            over.emplace_back(task, "lapsed");
+        }
+    }
+    for (const auto &[task, how] : over) {
+        endRun(task, how);
+    }
+}
+
+Response Worker::refusal(const std::string &reason) const
+{
+    return { 409, json::serialize(json::object{ { "clock-ms", clock() }, { "reason", reason } }), {} };
+}
+
+Response Worker::serve(const Request &request)
+{
+    const json::object body = json::parse(request.body).as_object();
+    std::unique_lock lock(m_mutex);
+    advance();
+    const auto expected = request.headers.find("x-expect-instance");
+    if (expected != request.headers.end() && expected->second != m_options.id) {
+        return { 421, "{}", {} };
+    }
+    const std::int64_t token = numberOf(body, "fencing-token");
+    if (token < m_token) {
+        return refusal("fence");
+    }
+    m_token = token;
+    if (request.target == "/api/run-start") {
+        return start(body);
+    }
+    if (request.target == "/api/run-stop") {
+        return stop(body);
+    }
+    return hold(body, lock);
+}
+
+Response Worker::start(const json::object &body)
+{
+    const std::string task(body.at("task").as_string());
+    const std::int64_t run = numberOf(body, "run");
+    const std::int64_t leaseEnd = numberOf(body, "deadline-ms");
+    if (leaseEnd < clock()) {
+        return refusal("late");
+    }
+    m_leaseEnd = std::max(m_leaseEnd, std::min(leaseEnd, clock() + longestLease));
+    const auto running = m_runs.find(task);
+    if (running != m_runs.end() ? running->second.number != run : m_highestRun.count(task) != 0 && run <= m_highestRun[task]) {
+        return refusal("old");
+    }
+    if (running == m_runs.end()) {
+        const std::size_t index = m_starts.add(Start{ m_options.id, task, run, m_record.now(), -1, "" });
+        m_runs[task] = Run{ run, clock(), std::stoll(std::string(body.at("spec").as_string())), index };
+        m_record.write(m_options.id + " starts " + task + " run " + std::to_string(run));
+    }
+    return { 200, json::serialize(json::object{ { "clock-ms", clock() } }), {} };
+}
+
+Response Worker::stop(const json::object &body)
+{
+    const std::string task(body.at("task").as_string());
+    const std::int64_t run = numberOf(body, "run");
+    const auto running = m_runs.find(task);
+    if (running != m_runs.end() && running->second.number <= run) {
+        endRun(task, "stopped");
+    }
+    m_highestRun[task] = std::max(m_highestRun[task], run);
+    return { 200, json::serialize(json::object{ { "clock-ms", clock() } }), {} };
+}
+
+Response Worker::hold(const json::object &body, std::unique_lock<std::mutex> &lock)
+{
+    const std::int64_t lastSeen = numberOf(body, "last-seen");
+    const std::chrono::milliseconds wait(numberOf(body, "wait-ms"));
+    m_leaseEnd = std::max(m_leaseEnd, std::min(numberOf(body, "deadline-ms"), clock() + longestLease));
+    std::erase_if(m_ends, [lastSeen](const End &end) { return end.number <= lastSeen; });
+    if (wait > 0ms) {
+        m_changed.wait_for(lock, wait, [this] { return m_isStopping || !m_ends.empty(); });
+    }
+    json::array running;
+    for (const auto &[task, run] : m_runs) {
+        running.push_back(
+            json::array{ task, run.number, "", std::min<std::int64_t>(100, 100 * (clock() - run.startedAt) / std::max<std::int64_t>(1, run.work)), 0 });
+    }
+    json::array ended;
+    for (const End &end : m_ends) {
+        ended.push_back(json::array{ end.number, end.task, end.run, end.how, "" });
+    }
+    return { 200, json::serialize(json::object{ { "clock-ms", clock() }, { "born", m_born }, { "running", running }, { "ended", ended } }), {} };
+}
+
+} // namespace review
--- /dev/null
+++ b/review/standins-2/worker.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "http.h"
+#include "record.h"
+
+#include <boost/json/object.hpp>
+
+#include <condition_variable>
+#include <optional>
+
+namespace review
+{
+
+/** A start that a worker has carried out. */
+struct Start
+{
+    std::string worker;
+    std::string task;
+    std::int64_t run = 0;
+    std::int64_t at = 0; // on the record's clock
+    std::int64_t endedAt = -1; // -1 while it runs
+    std::string how;
+};
+
+/** All starts of a case, by all workers. */
+class Starts
+{
+public:
+    std::size_t add(const Start &start);
+    void end(std::size_t index, std::int64_t at, const std::string &how);
+    [[nodiscard]] std::vector<Start> all() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<Start> m_starts;
+};
+
+/** What differs between workers. */
+struct WorkerOptions
+{
+    std::string id;
+    std::string service = "booking";
+    std::uint16_t port = 0;
+    std::uint16_t control = 0; // of the process beside it
+    std::int64_t cpu = 64'000;
+    std::chrono::milliseconds heartbeat{ 1500 };
+};
+
+/**
+ * An application worker that runs tasks under leases, as the pages describe it. The spec of a task is its work in
+ * milliseconds.
+ */
+class Worker
+{
+public:
+    Worker(WorkerOptions options, Record &record, Starts &starts);
+    ~Worker();
+
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    /** The body of a heartbeat, with the next sequence number. */
+    boost::json::object heartbeat();
+
+    /** Sets whether heartbeats are sent. */
+    void setReporting(bool isReporting);
+
+private:
+    struct Run
+    {
+        std::int64_t number = 0;
+        std::int64_t startedAt = 0;
+        std::int64_t work = 0;
+        std::size_t index = 0; // in Starts
+    };
+
+    struct End
+    {
+        std::int64_t number = 0;
+        std::string task;
+        std::int64_t run = 0;
+        std::string how;
+    };
+
+    Response serve(const Request &request);
+    Response start(const boost::json::object &body);
+    Response stop(const boost::json::object &body);
+    Response hold(const boost::json::object &body, std::unique_lock<std::mutex> &lock);
+    [[nodiscard]] Response refusal(const std::string &reason) const;
+    [[nodiscard]] std::int64_t clock() const;
+    void endRun(const std::string &task, const std::string &how);
+    void advance();
+    void tick();
+
+    WorkerOptions m_options;
+    Record &m_record;
+    Starts &m_starts;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isReporting = true;
+    Clock::time_point m_begin = Clock::now();
+    std::int64_t m_born = 0;
+    std::int64_t m_token = 0;
+    std::int64_t m_leaseEnd = 0;
+    std::int64_t m_lastEnd = 0;
+    std::int64_t m_sequence = 0;
+    std::map<std::string, Run> m_runs;
+    std::map<std::string, std::int64_t> m_highestRun; // stopped or ended, by task
+    std::vector<End> m_ends;
+    std::unique_ptr<HttpService> m_service;
+    std::thread m_ticker;
+};
+
+} // namespace review
