--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -62,9 +62,15 @@
     m_service.reset();
 }
 
-void Worker::setReporting(bool isReporting)
+void Worker::drain()
 {
-    m_isReporting = isReporting;
+    m_isDraining = true;
+    m_isReportDue = true;
+}
+
+std::int64_t Worker::drainingAcknowledgedAt() const
+{
+    return m_drainingAcknowledgedAt;
 }
 
 std::int64_t Worker::clock() const
@@ -75,18 +81,22 @@
 json::object Worker::heartbeat()
 {
     const std::lock_guard lock(m_mutex);
-    return { { "service", m_options.service },
-             { "address", "127.0.0.1:" + std::to_string(m_options.port) },
-             { "zone", "zone" },
-             { "version", "v1" },
-             { "slots", 8 },
-             { "state", "ready" },
-             { "cold-left-ms", 0 },
-             { "capacity", { { "cpu", m_options.cpu }, { "mem-mb", 262'144 }, { "gpu", 0 } } },
-             { "labels", { "a", "r1-1" } },
-             { "clock-ms", clock() },
-             { "born", m_born },
-             { "seq", ++m_sequence } };
+    json::object body{ { "service", m_options.service },
+                       { "address", "127.0.0.1:" + std::to_string(m_options.port) },
+                       { "zone", "zone" },
+                       { "version", "v1" },
+                       { "slots", 8 },
+                       { "state", m_isDraining ? "draining" : "ready" },
+                       { "cold-left-ms", 0 },
+                       { "capacity", { { "cpu", m_options.cpu }, { "mem-mb", 262'144 }, { "gpu", 0 } } },
+                       { "labels", { "a", "r1-1" } },
+                       { "clock-ms", clock() },
+                       { "born", m_born },
+                       { "seq", ++m_sequence } };
+    if (m_isDraining) {
+        body["remaining-ms"] = 8000;
+    }
+    return body;
 }
 
 void Worker::tick()
@@ -97,10 +107,15 @@
             const std::lock_guard lock(m_mutex);
             advance();
         }
-        if (m_isReporting && Clock::now() >= nextReport) {
-            const Request report{ "PUT", "/api/instances/" + m_options.id, { { "Content-Type", "application/json" } }, json::serialize(heartbeat()) };
+        if (m_isReportDue.exchange(false) || Clock::now() >= nextReport) {
+            const json::object body = heartbeat();
+            const Request report{ "PUT", "/api/instances/" + m_options.id, { { "Content-Type", "application/json" } }, json::serialize(body) };
             const bool isAcknowledged = call(m_options.control, report, 1000ms).status == 200;
             nextReport = Clock::now() + (isAcknowledged ? m_options.heartbeat : 200ms);
+            if (isAcknowledged && body.at("state").as_string() == "draining" && m_drainingAcknowledgedAt < 0) {
+                m_drainingAcknowledgedAt = m_record.now();
+                m_record.write(m_options.id + " says draining, which is acknowledged");
+            }
         }
         std::this_thread::sleep_for(2ms);
     }
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -62,8 +62,11 @@
     /** The body of a heartbeat, with the next sequence number. */
     boost::json::object heartbeat();
 
-    /** Sets whether heartbeats are sent. */
-    void setReporting(bool isReporting);
+    /** Says `draining` from the next heartbeat on, which is sent at once. */
+    void drain();
+
+    /** When a heartbeat that says `draining` was first acknowledged, on the record's clock; -1 before. */
+    [[nodiscard]] std::int64_t drainingAcknowledgedAt() const;
 
 private:
     struct Run
@@ -98,7 +101,9 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::atomic<bool> m_isStopping = false;
-    std::atomic<bool> m_isReporting = true;
+    std::atomic<bool> m_isDraining = false;
+    std::atomic<bool> m_isReportDue = true;
+    std::atomic<std::int64_t> m_drainingAcknowledgedAt = -1;
     Clock::time_point m_begin = Clock::now();
     std::int64_t m_born = 0;
     std::int64_t m_token = 0;
