--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,6 +1,6 @@
 // Another writer's heartbeat, in which fields are missing, arrives while a worker drains.
 
-#include "deployment.h"
+#include "../standins-2/deployment.h"
 
 #include <boost/json.hpp>
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-compile=(g++ -std=c++20 -O1 -pthread -Ireview/standins-2)
+compile=(g++ -std=c++20 -O1 -pthread)
 pids=()
 for source in review/standins-2/*.cpp; do
     "${compile[@]}" -c "$source" -o "$out/$(basename "$source" .cpp).o" &
