Review case 7: a start order that is carried out late by the next life of its worker

A worker leaves start orders unanswered, crashes, starts again under its id and carries the orders out; the tasks run on other workers meanwhile.

--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -107,7 +107,8 @@
             const std::lock_guard lock(m_mutex);
             advance();
         }
-        if (m_isReportDue.exchange(false) || Clock::now() >= nextReport) {
+        carryOutDelayedStarts();
+        if (m_isUp && (m_isReportDue.exchange(false) || Clock::now() >= nextReport)) {
             const json::object body = heartbeat();
             const Request report{ "PUT", "/api/instances/" + m_options.id, { { "Content-Type", "application/json" } }, json::serialize(body) };
             const bool isAcknowledged = call(m_options.control, report, 1000ms).status == 200;
@@ -152,7 +153,98 @@
     return { 409, json::serialize(json::object{ { "clock-ms", clock() }, { "reason", reason } }), {} };
 }
 
+void Worker::delayStarts(std::chrono::milliseconds least, std::chrono::milliseconds most)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isDelaying = true;
+    m_leastDelay = least;
+    m_mostDelay = most;
+}
+
+void Worker::answerStarts()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isDelaying = false;
+}
+
+void Worker::crash()
+{
+    m_isUp = false;
+    m_changed.notify_all();
+    m_service.reset();
+    const std::lock_guard lock(m_mutex);
+    while (!m_runs.empty()) {
+        const std::string task = m_runs.begin()->first;
+        endRun(task, "crashed");
+    }
+    m_record.write(m_options.id + " has crashed");
+}
+
+void Worker::restart()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_begin = Clock::now();
+        m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        m_token = 0;
+        m_leaseEnd = 0;
+        m_lastEnd = 0;
+        m_sequence = 0;
+        m_highestRun.clear();
+        m_ends.clear();
+        m_record.write(m_options.id + " has started again");
+    }
+    m_isUp = true;
+    m_isReportDue = true;
+    m_service = std::make_unique<HttpService>(m_options.port, [this](const Request &request) { return serve(request); });
+}
+
+/** Takes a start order out of the way if it is to be carried out late. */
+bool Worker::delayed(const Request &request)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isDelaying || request.target != "/api/run-start") {
+        return false;
+    }
+    m_isNextDelayed = !m_isNextDelayed;
+    if (!m_isNextDelayed) {
+        return false;
+    }
+    std::uniform_int_distribution<std::int64_t> delay(m_leastDelay.count(), m_mostDelay.count());
+    m_delayedStarts.push_back(DelayedStart{ Clock::now() + std::chrono::milliseconds(delay(m_random)), request });
+    m_record.write(m_options.id + " leaves unanswered " + request.body);
+    return true;
+}
+
+void Worker::carryOutDelayedStarts()
+{
+    std::vector<Request> due;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(m_delayedStarts, [&due](const DelayedStart &start) {
+            const bool isDue = Clock::now() >= start.due;
+            if (isDue) {
+                due.push_back(start.request);
+            }
+            return isDue;
+        });
+    }
+    for (const Request &request : due) {
+        const Response response = m_isUp ? handle(request) : Response();
+        m_record.write(m_options.id + " carries out late " + request.body + ": " + std::to_string(response.status) + " " + response.body);
+    }
+}
+
 Response Worker::serve(const Request &request)
+{
+    if (delayed(request)) {
+        std::this_thread::sleep_for(200ms);
+        return {}; // the sender has given up by now
+    }
+    return handle(request);
+}
+
+Response Worker::handle(const Request &request)
 {
     const json::object body = json::parse(request.body).as_object();
     std::unique_lock lock(m_mutex);
@@ -215,7 +307,7 @@
     m_leaseEnd = std::max(m_leaseEnd, std::min(numberOf(body, "deadline-ms"), clock() + longestLease));
     std::erase_if(m_ends, [lastSeen](const End &end) { return end.number <= lastSeen; });
     if (wait > 0ms) {
-        m_changed.wait_for(lock, wait, [this] { return m_isStopping || !m_ends.empty(); });
+        m_changed.wait_for(lock, wait, [this] { return m_isStopping || !m_isUp || !m_ends.empty(); });
     }
     json::array running;
     for (const auto &[task, run] : m_runs) {
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -6,7 +6,7 @@
 #include <boost/json/object.hpp>
 
 #include <condition_variable>
-#include <optional>
+#include <random>
 
 namespace review
 {
@@ -65,6 +65,21 @@
     /** Says `draining` from the next heartbeat on, which is sent at once. */
     void drain();
 
+    /**
+     * Leaves every second start order unanswered from now on, and carries it out later, after a time between the two limits. The
+     * orders are delayed on their way, so they also reach a worker that has started again meanwhile.
+     */
+    void delayStarts(std::chrono::milliseconds least, std::chrono::milliseconds most);
+
+    /** Answers every start order again. */
+    void answerStarts();
+
+    /** Ends the worker: what runs is gone, and connections are refused. */
+    void crash();
+
+    /** Starts the worker again under its id. It knows nothing of before, and its clock starts anew. */
+    void restart();
+
     /** When a heartbeat that says `draining` was first acknowledged, on the record's clock; -1 before. */
     [[nodiscard]] std::int64_t drainingAcknowledgedAt() const;
 
@@ -85,7 +100,17 @@
         std::string how;
     };
 
+    /** Start order on its way. */
+    struct DelayedStart
+    {
+        Clock::time_point due;
+        Request request;
+    };
+
     Response serve(const Request &request);
+    Response handle(const Request &request);
+    bool delayed(const Request &request);
+    void carryOutDelayedStarts();
     Response start(const boost::json::object &body);
     Response stop(const boost::json::object &body);
     Response hold(const boost::json::object &body, std::unique_lock<std::mutex> &lock);
@@ -113,6 +138,13 @@
     std::map<std::string, Run> m_runs;
     std::map<std::string, std::int64_t> m_highestRun; // stopped or ended, by task
     std::vector<End> m_ends;
+    bool m_isDelaying = false;
+    bool m_isNextDelayed = false;
+    std::chrono::milliseconds m_leastDelay{ 0 };
+    std::chrono::milliseconds m_mostDelay{ 0 };
+    std::minstd_rand m_random{ std::random_device{}() };
+    std::vector<DelayedStart> m_delayedStarts;
+    std::atomic<bool> m_isUp = true;
     std::unique_ptr<HttpService> m_service;
     std::thread m_ticker;
 };
