--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -15,6 +15,8 @@
 
 /** Longest lease that the worker grants, `hold-max-ms`. */
 constexpr std::int64_t longestLease = 1000;
+/** Time that a stop takes; the pages allow `stop-ms`, 50. */
+constexpr std::int64_t stopTime = 40;
 
 std::int64_t numberOf(const json::object &body, const char *name)
 {
@@ -75,7 +77,25 @@
 
 std::int64_t Worker::clock() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_begin).count();
+    const Clock::time_point now = m_isSuspended ? m_suspendedAt : Clock::now();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_begin - m_suspendedTime).count();
+}
+
+void Worker::suspend()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isSuspended = true;
+    m_suspendedAt = Clock::now();
+    m_record.write(m_options.id + " is suspended");
+}
+
+void Worker::resume()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isSuspended = false;
+    m_suspendedTime += Clock::now() - m_suspendedAt;
+    m_record.write(m_options.id + " goes on, " + std::to_string(m_runs.size()) + " runs, " + std::to_string(m_leaseEnd - clock()) + " ms of lease left");
+    m_changed.notify_all();
 }
 
 json::object Worker::heartbeat()
@@ -103,9 +123,17 @@
 {
     Clock::time_point nextReport = Clock::now();
     while (!m_isStopping) {
+        bool isSuspended = false;
         {
             const std::lock_guard lock(m_mutex);
-            advance();
+            isSuspended = m_isSuspended;
+            if (!isSuspended) {
+                advance();
+            }
+        }
+        if (isSuspended) {
+            std::this_thread::sleep_for(1ms);
+            continue;
         }
         carryOutDelayedStarts();
         if (m_isUp && (m_isReportDue.exchange(false) || Clock::now() >= nextReport)) {
@@ -139,6 +167,8 @@
     for (const auto &[task, run] : m_runs) {
         if (clock() - run.startedAt >= run.work) {
             over.emplace_back(task, "done");
+        } else if (run.stopAt >= 0 && clock() >= run.stopAt) {
+            over.emplace_back(task, "stopped");
         } else if (clock() > m_leaseEnd) {
             over.emplace_back(task, "lapsed");
         }
@@ -185,6 +215,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_begin = Clock::now();
+        m_suspendedTime = {};
         m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
         m_token = 0;
         m_leaseEnd = 0;
@@ -248,6 +279,7 @@
 {
     const json::object body = json::parse(request.body).as_object();
     std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return m_isStopping || !m_isUp || !m_isSuspended; });
     advance();
     const auto expected = request.headers.find("x-expect-instance");
     if (expected != request.headers.end() && expected->second != m_options.id) {
@@ -293,8 +325,8 @@
     const std::string task(body.at("task").as_string());
     const std::int64_t run = numberOf(body, "run");
     const auto running = m_runs.find(task);
-    if (running != m_runs.end() && running->second.number <= run) {
-        endRun(task, "stopped");
+    if (running != m_runs.end() && running->second.number <= run && running->second.stopAt < 0) {
+        running->second.stopAt = clock() + stopTime;
     }
     m_highestRun[task] = std::max(m_highestRun[task], run);
     return { 200, json::serialize(json::object{ { "clock-ms", clock() } }), {} };
@@ -307,8 +339,9 @@
     m_leaseEnd = std::max(m_leaseEnd, std::min(numberOf(body, "deadline-ms"), clock() + longestLease));
     std::erase_if(m_ends, [lastSeen](const End &end) { return end.number <= lastSeen; });
     if (wait > 0ms) {
-        m_changed.wait_for(lock, wait, [this] { return m_isStopping || !m_isUp || !m_ends.empty(); });
+        m_changed.wait_for(lock, wait, [this] { return !m_isSuspended && (m_isStopping || !m_isUp || !m_ends.empty()); });
     }
+    m_changed.wait(lock, [this] { return m_isStopping || !m_isUp || !m_isSuspended; });
     json::array running;
     for (const auto &[task, run] : m_runs) {
         running.push_back(
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -80,6 +80,12 @@
     /** Starts the worker again under its id. It knows nothing of before, and its clock starts anew. */
     void restart();
 
+    /** Suspends the worker with its machine: nothing runs or is answered, and its steady clock does not count the time. */
+    void suspend();
+
+    /** Ends the suspension: everything goes on where it stood. */
+    void resume();
+
     /** When a heartbeat that says `draining` was first acknowledged, on the record's clock; -1 before. */
     [[nodiscard]] std::int64_t drainingAcknowledgedAt() const;
 
@@ -90,6 +96,7 @@
         std::int64_t startedAt = 0;
         std::int64_t work = 0;
         std::size_t index = 0; // in Starts
+        std::int64_t stopAt = -1; // when a stop that was ordered is complete; -1 without one
     };
 
     struct End
@@ -138,6 +145,9 @@
     std::map<std::string, Run> m_runs;
     std::map<std::string, std::int64_t> m_highestRun; // stopped or ended, by task
     std::vector<End> m_ends;
+    bool m_isSuspended = false;
+    Clock::time_point m_suspendedAt;
+    Clock::duration m_suspendedTime{ 0 };
     bool m_isDelaying = false;
     bool m_isNextDelayed = false;
     std::chrono::milliseconds m_leastDelay{ 0 };
