--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -197,8 +197,7 @@
     }
     const std::int64_t until = nowMs() + 15'000;
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-        while (metric(entry, "lagoonroute_open_agents") != static_cast<std::int64_t>(m_sides.size())
-               || request(m_entries[entry].ready, Message{ .method = "GET", .target = "/api/ready" }, 1000).status != 200) {
+        while (metric(entry, "lagoonroute_open_agents") != static_cast<std::int64_t>(m_sides.size()) || !isReady(entry)) {
             if (nowMs() > until) {
                 throw CannotRun{ "an entry is not ready after 15 s" };
             }
@@ -235,6 +234,25 @@
     endProcess(m_sides[side].worker);
 }
 
+void Deployment::awaitEntryEnd(std::size_t entry, std::int64_t timeoutMs)
+{
+    pid_t &process = m_entries[entry].process;
+    const std::int64_t until = nowMs() + timeoutMs;
+    while (waitpid(process, nullptr, WNOHANG) == 0) {
+        if (nowMs() > until) {
+            endProcess(process); // SIGKILL after the grace time
+            return;
+        }
+        sleepUntil(nowMs() + 5);
+    }
+    process = 0;
+}
+
+bool Deployment::isReady(std::size_t entry) const
+{
+    return request(m_entries[entry].ready, Message{ .method = "GET", .target = "/api/ready" }, 1000).status == 200;
+}
+
 std::int64_t Deployment::metric(std::size_t entry, const std::string &name) const
 {
     const Message page = request(m_entries[entry].metrics, Message{ .method = "GET", .target = "/metrics" }, 1000);
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -71,6 +71,11 @@
     void killEntry(std::size_t entry);
     void killWorker(std::size_t side);
 
+    /** Waits for the end of an entry's process, at most for the time. */
+    void awaitEntryEnd(std::size_t entry, std::int64_t timeoutMs);
+    /** Returns whether an entry says that it is ready, as the platform asks it. */
+    [[nodiscard]] bool isReady(std::size_t entry) const;
+
     /** Returns a metric of an entry; -1 if it can't be read. */
     [[nodiscard]] std::int64_t metric(std::size_t entry, const std::string &name) const;
 
