--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -104,6 +104,7 @@
 pid_t Deployment::spawn(const std::string &name, const std::vector<std::string> &words, const std::string &settings) const
 {
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (const std::string &word : words) {
         arguments.push_back(const_cast<char *>(word.c_str()));
     }
