--- a/review/standins-3/http.cpp
+++ b/review/standins-3/http.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <optional>
+#include <random>
 #include <thread>
 
 namespace standins
@@ -204,18 +205,20 @@
 {
     // Below the ports that the system gives to outgoing connections.
     constexpr int first = 20'000;
-    constexpr int count = 10'000;
-    static int next = static_cast<int>(getpid()) % count;
+    constexpr int last = 29'999;
+    static std::random_device random;
+    std::uniform_int_distribution<int> any(first, last);
     while (true) {
-        const int port = first + next;
-        next = (next + 1) % count;
+        const int port = any(random);
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in address = loopback(port);
-        const bool isFree = bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
-        close(socket);
-        if (isFree) {
+        const int on = 1;
+        if (bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0) {
+            // The socket stays bound, so that no other case takes the port; a process may listen there with SO_REUSEADDR all the same.
+            setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
             return port;
         }
+        close(socket);
     }
 }
 
--- a/review/standins-3/http.h
+++ b/review/standins-3/http.h
@@ -49,7 +49,7 @@
     std::string m_rest; // received, and not yet read
 };
 
-/** Returns a free port of 127.0.0.1. */
+/** Returns a free port of 127.0.0.1, which stays reserved for this case. */
 int freePort();
 
 } // namespace standins
